Add the build, checked settings, logging, metrics and the design

Cause: the repository was empty; parallel work needs one contract and shared value types. Change: CMake build with warnings as errors, formatter and linter; settings table with defaults, ranges and nearest-key suggestions; HTTP dispatch over Poco::Net; probes; the Cap'n Proto schema and the value types and interfaces that the modules share; docs/design.md. Conclusion: the modules can be built in parallel against these headers.

--- /dev/null
+++ b/include/celeryline/FleetState.h
@@ -0,0 +1,37 @@
+/// @file
+/// The fleet state: an immutable value that the replicated log owns.
+#pragma once
+
+#include "celeryline/Command.h"
+#include "celeryline/CommandResult.h"
+#include "celeryline/Instance.h"
+#include "celeryline/Job.h"
+#include "celeryline/Pool.h"
+#include "celeryline/Service.h"
+#include "celeryline/Wave.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace celeryline {
+
+/// Objects of one kind by name. Shared between revisions until a change touches the kind.
+template <typename T> using ObjectMap = std::shared_ptr<const std::map<std::string, T>>;
+
+/// The fleet state at one revision. Readers hold it through a shared pointer and never see it change.
+struct FleetState {
+    std::uint64_t revision = 0;
+    ObjectMap<Service> services = std::make_shared<const std::map<std::string, Service>>();
+    ObjectMap<Pool> pools = std::make_shared<const std::map<std::string, Pool>>();
+    ObjectMap<Instance> instances = std::make_shared<const std::map<std::string, Instance>>();
+    ObjectMap<Wave> waves = std::make_shared<const std::map<std::string, Wave>>();
+    ObjectMap<Permit> permits = std::make_shared<const std::map<std::string, Permit>>(); ///< By instance.
+    ObjectMap<Quota> quotas = std::make_shared<const std::map<std::string, Quota>>();
+    ObjectMap<Job> jobs = std::make_shared<const std::map<std::string, Job>>();
+    /// Revision of the last change of each object, by "kind/name"; decides conflicts.
+    ObjectMap<std::uint64_t> objectRevisions = std::make_shared<const std::map<std::string, std::uint64_t>>();
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/HttpErrors.h
@@ -0,0 +1,27 @@
+/// @file
+/// Errors as HTTP answers.
+#pragma once
+
+#include "celeryline/Error.h"
+
+#include <Poco/Net/HTTPServerResponse.h>
+
+namespace celeryline {
+
+/// @param kind an error kind.
+/// @return the HTTP status that stands for it.
+Poco::Net::HTTPResponse::HTTPStatus httpStatusOf(ErrorKind kind);
+
+/// Answers with the status of an error and the JSON body `{"error": kind, "message": text}`.
+/// @param response the answer, not sent yet.
+/// @param error what went wrong.
+void sendError(Poco::Net::HTTPServerResponse& response, const Error& error);
+
+/// Answers with JSON text.
+/// @param response the answer, not sent yet.
+/// @param json the body.
+/// @param status the status code.
+void sendJson(Poco::Net::HTTPServerResponse& response, const std::string& json,
+    Poco::Net::HTTPResponse::HTTPStatus status = Poco::Net::HTTPResponse::HTTP_OK);
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/LabelSet.h
@@ -0,0 +1,13 @@
+/// @file
+/// Labels of pools, services and instances.
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace celeryline {
+
+/// Label names and values, ordered by name.
+using LabelSet = std::map<std::string, std::string>;
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/LogEntry.h
@@ -0,0 +1,35 @@
+/// @file
+/// One record of the replicated log.
+#pragma once
+
+#include "celeryline/Millis.h"
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace celeryline {
+
+/// What a log entry carries.
+enum class LogEntryKind : std::uint8_t {
+    Noop = 0, ///< Written by a new leader to commit entries of earlier terms.
+    Command = 1, ///< An encoded Command.
+    Configuration = 2 ///< An encoded set of voters and learners.
+};
+
+/// One record of the replicated log.
+struct LogEntry {
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    LogEntryKind kind = LogEntryKind::Noop;
+    Millis time; ///< Wall time of the leader, forced to be non-decreasing.
+    std::string payload;
+};
+
+inline bool operator==(const LogEntry& a, const LogEntry& b)
+{
+    return std::tie(a.index, a.term, a.kind, a.time, a.payload)
+        == std::tie(b.index, b.term, b.kind, b.time, b.payload);
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/PeerTransport.h
@@ -0,0 +1,36 @@
+/// @file
+/// Calls to other entry instances.
+#pragma once
+
+#include "celeryline/Command.h"
+#include "celeryline/CommandResult.h"
+#include "celeryline/CreditRequest.h"
+#include "celeryline/Heartbeat.h"
+#include "celeryline/Hello.h"
+#include "celeryline/Millis.h"
+#include "celeryline/RaftMessage.h"
+#include "celeryline/RegistryDelta.h"
+
+#include <string>
+
+namespace celeryline {
+
+/// Calls other entry instances by name. The send methods queue a message and return at once; a message
+/// that can't be delivered in time is dropped. The other methods block and throw Error: Unavailable if
+/// the call certainly did not reach the peer, TimedOut if that isn't known, or the peer's own error.
+class PeerTransport {
+public:
+    virtual ~PeerTransport() = default;
+
+    virtual void sendRaft(const std::string& peer, RaftMessage message) = 0;
+    virtual void sendDelta(const std::string& peer, RegistryDelta delta) = 0;
+    virtual void sendHeartbeat(const std::string& peer, const Heartbeat& heartbeat) = 0;
+
+    virtual CommandResult submit(const std::string& peer, const Command& command, Millis timeout) = 0;
+    virtual RegistryDelta fullCopy(const std::string& peer, Millis timeout) = 0;
+    virtual CreditGrant requestCredits(const std::string& peer, const CreditRequest& request, Millis timeout)
+        = 0;
+    virtual Hello hello(const std::string& peer, const Hello& hello, Millis timeout) = 0;
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/RegistryDelta.h
@@ -0,0 +1,31 @@
+/// @file
+/// Changes to the soft state that entry instances of one data centre send each other.
+#pragma once
+
+#include "celeryline/Announcement.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// What happened to an upstream.
+enum class RegistryChangeKind : std::uint8_t { Announced, Left, Expired };
+
+/// One change to the soft state.
+struct RegistryChange {
+    RegistryChangeKind kind = RegistryChangeKind::Announced;
+    Announcement upstream; ///< Only name and boot epoch are used unless the kind is Announced.
+};
+
+/// An ordered batch of changes from the instance that manages the upstreams.
+struct RegistryDelta {
+    std::string manager; ///< Name of the sending instance.
+    std::uint64_t epoch = 0; ///< Boot epoch of the sending process.
+    std::uint64_t firstSequence = 0; ///< Sequence number of changes[0]; the others follow without a gap.
+    bool isFullCopy = false; ///< Replaces all that the manager sent before; covers firstSequence and older.
+    std::vector<RegistryChange> changes;
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/src/HttpErrors.cpp
@@ -0,0 +1,54 @@
+#include "celeryline/HttpErrors.h"
+
+#include <Poco/JSON/Object.h>
+
+#include <sstream>
+
+namespace celeryline {
+
+using Poco::Net::HTTPResponse;
+
+HTTPResponse::HTTPStatus httpStatusOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::InvalidInput:
+    case ErrorKind::InvalidSettings:
+        return HTTPResponse::HTTP_BAD_REQUEST;
+    case ErrorKind::NotFound:
+        return HTTPResponse::HTTP_NOT_FOUND;
+    case ErrorKind::Conflict:
+        return HTTPResponse::HTTP_CONFLICT;
+    case ErrorKind::Unavailable:
+        return HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+    case ErrorKind::TimedOut:
+        return HTTPResponse::HTTP_GATEWAY_TIMEOUT;
+    case ErrorKind::LimitExceeded:
+        return HTTPResponse::HTTP_REQUEST_ENTITY_TOO_LARGE;
+    case ErrorKind::Refused:
+        return HTTPResponse::HTTP_FORBIDDEN;
+    case ErrorKind::Storage:
+    case ErrorKind::Corrupt:
+        return HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+    }
+    return HTTPResponse::HTTP_INTERNAL_SERVER_ERROR;
+}
+
+void sendError(Poco::Net::HTTPServerResponse& response, const Error& error)
+{
+    Poco::JSON::Object body;
+    body.set("error", errorKindName(error.kind()));
+    body.set("message", std::string(error.what()));
+    std::ostringstream text;
+    body.stringify(text);
+    sendJson(response, text.str(), httpStatusOf(error.kind()));
+}
+
+void sendJson(
+    Poco::Net::HTTPServerResponse& response, const std::string& json, HTTPResponse::HTTPStatus status)
+{
+    response.setStatusAndReason(status);
+    response.setContentType("application/json");
+    response.sendBuffer(json.data(), json.size());
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/Subcommand.cpp
@@ -0,0 +1,100 @@
+#include "celeryline/Subcommand.h"
+
+#include "celeryline/CheckConfigCommand.h"
+#include "celeryline/EditDistance.h"
+#include "celeryline/Error.h"
+#include "celeryline/ServeCommand.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace celeryline {
+
+namespace {
+
+void printOverview(std::ostream& out)
+{
+    out << "usage: celeryline SUBCOMMAND [options]\n\nsubcommands:\n";
+    for (const auto& command : subcommands()) {
+        out << "  " << command.name << std::string(14 - std::min<std::size_t>(13, command.name.size()), ' ')
+            << command.summary << '\n';
+    }
+    out << "\n'celeryline SUBCOMMAND --help' describes one; '--version' prints the version.\n";
+}
+
+ExitCode runNamed(const std::string& name, const std::vector<std::string>& arguments)
+{
+    std::vector<std::string> names;
+    for (const auto& command : subcommands()) {
+        if (command.name == name) {
+            return command.run(arguments);
+        }
+        names.push_back(command.name);
+    }
+    std::cerr << "celeryline: unknown subcommand \"" << name << "\"; did you mean \""
+              << nearestOf(name, names) << "\"?\n";
+    return ExitCode::Usage;
+}
+
+} // namespace
+
+ExitCode exitCodeOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::InvalidSettings:
+    case ErrorKind::InvalidInput:
+    case ErrorKind::LimitExceeded:
+        return ExitCode::InvalidInput;
+    case ErrorKind::Conflict:
+        return ExitCode::Conflict;
+    case ErrorKind::Unavailable:
+        return ExitCode::NotReachable;
+    case ErrorKind::TimedOut:
+        return ExitCode::TimedOut;
+    case ErrorKind::NotFound:
+        return ExitCode::NotFound;
+    case ErrorKind::Refused:
+        return ExitCode::Refused;
+    case ErrorKind::Storage:
+    case ErrorKind::Corrupt:
+        return ExitCode::Internal;
+    }
+    return ExitCode::Internal;
+}
+
+const std::vector<Subcommand>& subcommands()
+{
+    static const std::vector<Subcommand> all {
+        { "serve", "run an entry instance", runServe },
+        { "check-config", "check a settings file and print any error", runCheckConfig },
+    };
+    return all;
+}
+
+int runSubcommand(const std::vector<std::string>& arguments)
+{
+    if (arguments.empty()) {
+        printOverview(std::cerr);
+        return static_cast<int>(ExitCode::Usage);
+    }
+    const auto& name = arguments.front();
+    if (name == "--help" || name == "-h" || name == "help") {
+        printOverview(std::cout);
+        return static_cast<int>(ExitCode::Done);
+    }
+    if (name == "--version") {
+        std::cout << "celeryline " CELERYLINE_VERSION "\n";
+        return static_cast<int>(ExitCode::Done);
+    }
+    try {
+        return static_cast<int>(runNamed(name, { arguments.begin() + 1, arguments.end() }));
+    } catch (const Error& e) {
+        std::cerr << "celeryline " << name << ": " << e.what() << '\n';
+        return static_cast<int>(exitCodeOf(e.kind()));
+    } catch (const std::exception& e) {
+        std::cerr << "celeryline " << name << ": internal error: " << e.what() << '\n';
+        return static_cast<int>(ExitCode::Internal);
+    }
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,3 @@
+#include "celeryline/Subcommand.h"
+
+int main(int argc, char** argv) { return celeryline::runSubcommand({ argv + 1, argv + argc }); }
--- /dev/null
+++ b/test/SettingsTest.cpp
@@ -0,0 +1,73 @@
+#include "celeryline/Settings.h"
+
+#include "celeryline/Error.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using Catch::Matchers::Contains;
+
+namespace {
+
+std::string errorOf(const std::string& json)
+{
+    try {
+        parseSettings(json, "a.json");
+    } catch (const Error& e) {
+        CHECK(e.kind() == ErrorKind::InvalidSettings);
+        return e.what();
+    }
+    return "";
+}
+
+} // namespace
+
+TEST_CASE("Settings accept comments and fill in defaults")
+{
+    auto settings = parseSettings(
+        "{ // the \"first\" instance\n /* see http://docs */ \"name\": \"a\", \"dataCentre\": \"dc1\" }",
+        "a.json");
+    CHECK(settings.name == "a");
+    CHECK(settings.httpListen == "127.0.0.1:7400");
+    CHECK(settings.leases.peerTimeout == Millis { 2000 });
+}
+
+TEST_CASE("A misspelt key is refused with the nearest known key")
+{
+    auto message = errorOf(R"({"name":"a","dataCentre":"d","routing":{"tryTimoutMs":5}})");
+    CHECK_THAT(message, Contains("routing.tryTimoutMs") && Contains("did you mean \"routing.tryTimeoutMs\""));
+}
+
+TEST_CASE("A value out of range is refused with its path, unit and range")
+{
+    auto message = errorOf(R"({"name":"a","dataCentre":"d","limits":{"maxBodyBytes":3}})");
+    CHECK_THAT(message, Contains("limits.maxBodyBytes") && Contains("bytes") && Contains("1024"));
+    CHECK_THAT(errorOf(R"({"name":"a","dataCentre":"d","leases":{"peerTimeoutMs":"2s"}})"),
+        Contains("leases.peerTimeoutMs") && Contains(" in ms"));
+}
+
+TEST_CASE("A role without a token may not listen beyond loopback")
+{
+    auto message = errorOf(R"({"name":"a","dataCentre":"d","httpListen":"0.0.0.0:7400"})");
+    CHECK_THAT(message, Contains("security.callerTokenFile"));
+}
+
+TEST_CASE("A host name is refused where an IP address is needed")
+{
+    CHECK_THAT(errorOf(R"({"name":"a","dataCentre":"d","httpListen":"localhost:7400"})"),
+        Contains("not an IP address"));
+}
+
+TEST_CASE("A voter must be a known instance and have a data folder")
+{
+    CHECK_THAT(errorOf(R"({"name":"a","dataCentre":"d","voters":["b"]})"), Contains("voter \"b\""));
+    CHECK_THAT(errorOf(R"({"name":"a","dataCentre":"d","voters":["a"]})"), Contains("dataDir"));
+}
+
+TEST_CASE("Truncated settings are refused as a whole")
+{
+    const std::string whole = R"({"name":"a","dataCentre":"dc1","logging":{"level":"warn"}})";
+    for (std::size_t length = 0; length < whole.size(); ++length) {
+        CHECK_THROWS_AS(parseSettings(whole.substr(0, length), "a.json"), Error);
+    }
+}
