Strip both kinds of comments before settings are parsed

Change: both kinds are blanked outside of strings before parsing. Conclusion: settings may carry // and /* */ comments.

--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -25,19 +25,27 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-/// Replaces `//` comments outside of strings by blanks. Poco's parser accepts only `/* */` comments.
-std::string withoutLineComments(std::string json)
+/// Replaces comments outside of strings by blanks. Poco's parser accepts only `/* */` comments.
+std::string withoutComments(std::string json)
 {
     bool inString = false;
-    for (std::size_t i = 0; i < json.size(); ++i) {
-        if (json[i] == '\\' && inString) {
-            ++i;
-        } else if (json[i] == '"') {
-            inString = !inString;
+    std::size_t i = 0;
+    auto blankUntil = [&](std::size_t end) {
+        for (end = std::min(end, json.size()); i < end; ++i) {
+            json[i] = json[i] == '\n' ? '\n' : ' ';
+        }
+    };
+    while (i < json.size()) {
+        if (inString && json[i] == '\\') {
+            i += 2;
         } else if (!inString && json.compare(i, 2, "//") == 0) {
-            while (i < json.size() && json[i] != '\n') {
-                json[i++] = ' ';
-            }
+            blankUntil(json.find('\n', i));
+        } else if (!inString && json.compare(i, 2, "/*") == 0) {
+            auto end = json.find("*/", i + 2);
+            blankUntil(end == std::string::npos ? json.size() : end + 2);
+        } else {
+            inString = inString != (json[i] == '"');
+            ++i;
         }
     }
     return json;
@@ -315,8 +323,7 @@
     Object::Ptr root;
     try {
         Poco::JSON::Parser parser;
-        parser.setAllowComments(true);
-        root = parser.parse(withoutLineComments(json)).extract<Object::Ptr>();
+        root = parser.parse(withoutComments(json)).extract<Object::Ptr>();
     } catch (const Poco::Exception& e) {
         fail(source, "not a JSON object: " + e.displayText(), "check brackets, quotes and commas");
     }
