Add the replicated log with durable storage

Fleet state and claims need a log that survives restarts. StoreStatus gains the field failure, which says why an instance takes no part any more.

--- /dev/null
+++ b/include/celeryline/CommandCodec.h
@@ -0,0 +1,35 @@
+/// @file
+/// Commands as bytes.
+#pragma once
+
+#include "celeryline/ByteCodec.h"
+#include "celeryline/Command.h"
+
+#include <string>
+
+namespace celeryline {
+
+/// @return the payload of a log entry of kind Command.
+inline std::string encodeCommand(const Command& command)
+{
+    std::string bytes;
+    bytes.reserve(command.id.size() + command.body.size() + 17);
+    detail::putInteger(bytes, static_cast<std::uint8_t>(command.kind));
+    detail::putText(bytes, command.id);
+    detail::putText(bytes, command.body);
+    return bytes;
+}
+
+/// @return the command that encodeCommand() encoded.
+/// @throws Error of kind Corrupt if the bytes are not a whole command.
+inline Command decodeCommand(const std::string& bytes)
+{
+    detail::ByteReader reader(bytes, "command in the log");
+    Command command;
+    command.kind = static_cast<CommandKind>(reader.integer<std::uint8_t>());
+    command.id = reader.text();
+    command.body = reader.text();
+    return command;
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/RaftOptions.h
@@ -0,0 +1,37 @@
+/// @file
+/// Constants of one RaftCore.
+#pragma once
+
+#include "celeryline/Millis.h"
+#include "celeryline/RaftMessage.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// Begins the storage ids of instances without a disk, which differ after each start.
+inline constexpr const char* memoryIdPrefix = "memory-";
+
+/// @return whether a storage id is that of a data folder; only such a replica can be a voter.
+inline bool isDurableId(const std::string& storageId)
+{
+    return !storageId.empty() && storageId.rfind(memoryIdPrefix, 0) != 0;
+}
+
+/// Constants of one RaftCore.
+struct RaftOptions {
+    ReplicaId self;
+    bool isDurable = true; ///< False on an instance without a disk, which can only be a learner.
+    std::vector<std::string> peers; ///< Names of all other instances.
+    std::vector<std::string> voterNames; ///< Instances that the leader makes voters once they caught up.
+    Millis heartbeat { 50 };
+    Millis electionTimeout { 300 }; ///< Minimum; each timeout is drawn from one to two times this.
+    std::size_t maxBatchBytes = 1 << 20; ///< Payload of one Append message.
+    std::uint64_t maxInFlightEntries = 4096; ///< Sent to one instance without an answer.
+    std::size_t snapshotChunkBytes = 256 << 10;
+    std::uint64_t seed = 0; ///< Of the random election timeouts; different on each instance.
+};
+
+} // namespace celeryline
--- a/include/celeryline/StoreStatus.h
+++ b/include/celeryline/StoreStatus.h
@@ -31,6 +31,7 @@
     bool hasQuorum = false; ///< Leader: heard from a majority. Others: heard from a leader in time.
     std::vector<std::string> voters;
     std::vector<ReplicaProgress> replicas; ///< Filled in by the leader only.
+    std::string failure; ///< Why this instance takes no part any more, such as a full disk; empty if it does.
 };
 
 } // namespace celeryline
--- /dev/null
+++ b/src/RaftFollower.cpp
@@ -0,0 +1,156 @@
+// Followers and learners: entries and snapshots from the leader.
+#include "celeryline/Error.h"
+#include "celeryline/Invariant.h"
+#include "celeryline/RaftCore.h"
+
+#include <algorithm>
+
+namespace celeryline {
+
+void RaftCore::followLeader(const RaftMessage& message)
+{
+    requireInvariant(m_role != ConsensusRole::Leader || message.term > m_term.term, "one leader a term");
+    requireInvariant(
+        message.term > m_term.term || m_leader.empty() || m_leader == message.from.name, "one leader a term");
+    if (message.term > m_term.term || m_role == ConsensusRole::Candidate || m_leader.empty())
+        becomeFollower(message.term, message.from.name);
+    m_leaderHeardAt = m_now;
+    resetElectionDeadline();
+}
+
+void RaftCore::onAppend(const RaftMessage& message)
+{
+    auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
+    reply.sequence = message.sequence;
+    if (message.term < m_term.term) {
+        reply.rejected = true;
+        reply.logIndex = m_log.lastIndex();
+        sendWhenPersisted(std::move(reply));
+        return;
+    }
+    followLeader(message);
+    reply.term = m_term.term;
+
+    auto previous = message.logIndex;
+    if (previous < m_log.baseIndex()) {
+        // Everything up to the base is committed; the leader goes on behind it.
+        reply.logIndex = std::min(m_commitIndex, m_durableIndex);
+        sendWhenPersisted(std::move(reply));
+        return;
+    }
+    if (previous > m_log.lastIndex() || m_log.termAt(previous) != message.logTerm) {
+        reply.rejected = true;
+        auto hint = std::min(previous - 1, m_log.lastIndex());
+        // Skips the whole conflicting term.
+        auto conflictingTerm = m_log.termAt(std::min(previous, m_log.lastIndex()));
+        while (previous <= m_log.lastIndex() && hint > m_commitIndex && m_log.termAt(hint) == conflictingTerm)
+            --hint;
+        reply.logIndex = std::max(hint, m_commitIndex);
+        sendWhenPersisted(std::move(reply));
+        return;
+    }
+    appendReceived(message.entries);
+    auto lastMatching = previous + message.entries.size();
+    if (std::min(message.commitIndex, lastMatching) > m_commitIndex)
+        setCommitIndex(std::min(message.commitIndex, lastMatching));
+    reply.logIndex = lastMatching;
+    sendWhenPersisted(std::move(reply));
+}
+
+void RaftCore::appendReceived(const std::vector<LogEntry>& entries)
+{
+    for (const auto& entry : entries) {
+        if (entry.index <= m_log.lastIndex()) {
+            if (m_log.termAt(entry.index) == entry.term) {
+                requireInvariant(
+                    m_log.at(entry.index) == entry, "entries with equal index and term are equal");
+                continue;
+            }
+            requireInvariant(entry.index > m_commitIndex, "committed entries are never replaced");
+            m_log.truncateFrom(entry.index);
+            m_durableIndex = std::min(m_durableIndex, entry.index - 1);
+            for (auto& pending : m_pendingPersists) {
+                pending.lastIndex = std::min(pending.lastIndex, entry.index - 1);
+                pending.lastTerm = m_log.termAt(pending.lastIndex);
+            }
+            auto& unwritten = m_output.entries;
+            unwritten.erase(std::remove_if(unwritten.begin(), unwritten.end(),
+                                [&](const LogEntry& e) { return e.index >= entry.index; }),
+                unwritten.end());
+            m_output.truncateFrom
+                = m_output.truncateFrom == 0 ? entry.index : std::min(m_output.truncateFrom, entry.index);
+        }
+        m_log.append(entry);
+        m_output.entries.push_back(entry);
+        m_mustPersist = true;
+    }
+    // A configuration is in force as soon as it is in the log.
+    m_role = isVoter() ? ConsensusRole::Follower : ConsensusRole::Learner;
+}
+
+void RaftCore::onSnapshot(const RaftMessage& message)
+{
+    if (message.term < m_term.term) {
+        auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
+        reply.rejected = true;
+        reply.logIndex = m_log.lastIndex();
+        sendWhenPersisted(std::move(reply));
+        return;
+    }
+    followLeader(message);
+    auto reply = makeMessage(RaftMessageKind::SnapshotReply, message.from);
+    reply.sequence = message.sequence;
+    reply.logIndex = message.logIndex;
+    reply.snapshotOffset = 0;
+    if (message.logIndex <= m_commitIndex || m_log.termAt(message.logIndex) == message.logTerm) {
+        // The log already holds all of it; removing entries behind it could remove acknowledged ones.
+        if (message.logIndex > m_commitIndex)
+            setCommitIndex(message.logIndex);
+        m_receiving.clear();
+        reply.snapshotEnd = true;
+        sendWhenPersisted(std::move(reply));
+        return;
+    }
+    if (message.snapshotOffset == 0 || message.logIndex != m_receivingIndex
+        || message.logTerm != m_receivingTerm) {
+        m_receiving.clear();
+        m_receivingIndex = message.logIndex;
+        m_receivingTerm = message.logTerm;
+    }
+    if (message.snapshotOffset == m_receiving.size())
+        m_receiving += message.snapshotChunk;
+    else
+        reply.rejected = true;
+    if (!reply.rejected && message.snapshotEnd) {
+        try {
+            installSnapshot(message);
+            reply.snapshotEnd = true;
+        } catch (const Error&) {
+            reply.rejected = true; // Starts over at offset 0.
+        }
+        m_receiving.clear();
+    }
+    reply.snapshotOffset = m_receiving.size();
+    sendWhenPersisted(std::move(reply));
+}
+
+void RaftCore::installSnapshot(const RaftMessage& message)
+{
+    auto received = std::make_shared<ReceivedSnapshot>();
+    received->snapshot = decodeSnapshot(m_receiving, "snapshot received from \"" + message.from.name + "\"");
+    received->bytes = std::move(m_receiving);
+    const auto& snapshot = received->snapshot;
+    requireInvariant(snapshot.index == message.logIndex && snapshot.term == message.logTerm,
+        "a snapshot is the one that was announced");
+    m_log = RaftLog(snapshot, {});
+    m_commitIndex = snapshot.index;
+    m_handedOutIndex = snapshot.index;
+    m_durableIndex = 0;
+    m_role = isVoter() ? ConsensusRole::Follower : ConsensusRole::Learner;
+    m_output.entries.clear();
+    m_output.truncateFrom = 0;
+    m_output.snapshot = received;
+    m_mustPersist = true;
+}
+
+} // namespace celeryline
