--- /dev/null
+++ b/include/celeryline/Span.h
@@ -0,0 +1,31 @@
+/// @file
+/// One timed operation of a trace.
+#pragma once
+
+#include "celeryline/TraceContext.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace celeryline {
+
+/// What a span stands for; the values are those of OTLP.
+enum class SpanKind : std::uint8_t { Internal = 1, Server = 2, Client = 3 };
+
+/// One timed operation of a trace, finished.
+struct Span {
+    std::string name;
+    SpanKind kind = SpanKind::Internal;
+    TraceContext context;
+    std::string parentSpanId; ///< Empty for the first span of a trace.
+    std::int64_t startNanos = 0; ///< Wall time since the Unix epoch.
+    std::int64_t endNanos = 0;
+    std::map<std::string, std::string> attributes;
+    bool failed = false;
+};
+
+/// @return the wall time in nanoseconds since the Unix epoch, for span start and end.
+std::int64_t spanTimeNow();
+
+} // namespace celeryline
--- /dev/null
+++ b/test/kit/StandInRunner.h
@@ -0,0 +1,48 @@
+/// @file
+/// A stand-in runner: serves requests in its slots and keeps a journal of what it ran.
+#pragma once
+
+#include "Journal.h"
+
+#include "celeryline/HttpEndpoint.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace celeryline::kit {
+
+/// How a stand-in runner behaves.
+struct RunnerBehaviour {
+    int slots = 8;
+    int workMs = 0; ///< Time that each request takes; the header `Test-Work-Ms` replaces it.
+};
+
+/// Serves any path: answers with the body it received. A request beyond the slots is counted as an overfill.
+class StandInRunner final : public HttpEndpoint {
+public:
+    /// @param behaviour slots and work time.
+    /// @param journal a line `ran REQUEST-ID KEY RUNNER` for each request that ran.
+    /// @param name the runner's name.
+    StandInRunner(const RunnerBehaviour& behaviour, Journal& journal, std::string name);
+
+    void handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override;
+
+    /// @return requests in progress.
+    int inProgress() const { return m_inProgress; }
+
+    /// @return requests that arrived while all slots were in use.
+    std::uint64_t overfills() const { return m_overfills; }
+
+    /// @return requests that ran.
+    std::uint64_t served() const { return m_served; }
+
+private:
+    RunnerBehaviour m_behaviour;
+    Journal& m_journal;
+    std::string m_name;
+    std::atomic<int> m_inProgress { 0 };
+    std::atomic<std::uint64_t> m_overfills { 0 };
+    std::atomic<std::uint64_t> m_served { 0 };
+};
+
+} // namespace celeryline::kit
--- a/test/kit/main.cpp
+++ b/test/kit/main.cpp
@@ -1,7 +1,30 @@
-#include <cstdio>
+#include "KitCommands.h"
 
-int main()
+#include "celeryline/Error.h"
+
+#include <csignal>
+#include <iostream>
+
+int main(int argc, char** argv)
 {
-    std::fprintf(stderr, "usage: celeryline-testkit runner|worker|load [options]\n");
+    using namespace celeryline;
+    std::signal(SIGPIPE, SIG_IGN);
+    std::vector<std::string> arguments(argv + std::min(argc, 2), argv + argc);
+    std::string name = argc > 1 ? argv[1] : "";
+    try {
+        if (name == "upstreams") {
+            return kit::runUpstreams(arguments);
+        }
+        if (name == "load") {
+            return kit::runLoad(arguments);
+        }
+        if (name == "check-journal") {
+            return kit::runCheckJournal(arguments);
+        }
+    } catch (const Error& e) {
+        std::cerr << "celeryline-testkit " << name << ": " << e.what() << '\n';
+        return 3;
+    }
+    std::cerr << "usage: celeryline-testkit upstreams|load|check-journal [options]\n";
     return 2;
 }
