--- a/include/celeryline/Selector.h
+++ b/include/celeryline/Selector.h
@@ -34,8 +34,13 @@
 
 inline bool operator==(const Selector& a, const Selector& b) { return a.requirements == b.requirements; }
 
+/// @param text a label's name or value.
+/// @return whether it may be used as such: 1 to 128 characters out of `A-Z a-z 0-9 . _ - / :`.
+bool isLabelText(const std::string& text);
+
 /// Parses the text form: conditions joined by commas, each one of `label=value`, `label!=value`,
-/// `label in (a,b)`, `label notin (a,b)`, `label`, `!label`.
+/// `label in (a,b)`, `label notin (a,b)`, `label`, `!label`. Blanks between the parts are allowed. An empty
+/// text gives the selector that matches nothing.
 /// @param text the text form.
 /// @return the selector.
 /// @throws Error of kind InvalidInput that shows the position and an example.
