--- a/include/celeryline/RegistryDelta.h
+++ b/include/celeryline/RegistryDelta.h
@@ -11,12 +11,17 @@
 namespace celeryline {
 
 /// What happened to an upstream.
-enum class RegistryChangeKind : std::uint8_t { Announced, Left, Expired };
+enum class RegistryChangeKind : std::uint8_t {
+    Announced, ///< New or changed.
+    Left, ///< Is never offered again with this boot epoch.
+    Expired ///< Its lease at the sending instance has lapsed.
+};
 
 /// One change to the soft state.
 struct RegistryChange {
     RegistryChangeKind kind = RegistryChangeKind::Announced;
     Announcement upstream; ///< Only name and boot epoch are used unless the kind is Announced.
+    std::uint64_t generation = 0; ///< Orders announcements of one boot at different instances.
 };
 
 /// An ordered batch of changes from the instance that manages the upstreams.
--- a/src/Peer.capnp
+++ b/src/Peer.capnp
@@ -76,6 +76,7 @@
 struct RegistryChange {
   kind @0 :UInt8;
   upstream @1 :Announcement;
+  generation @2 :UInt64;
 }
 
 struct RegistryDelta {
--- a/src/Peer.capnp.h
+++ b/src/Peer.capnp.h
@@ -187,7 +187,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e51c23c5affe539e, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e51c23c5affe539e, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1490,6 +1490,8 @@
   inline bool hasUpstream() const;
   inline  ::celeryline::rpc::Announcement::Reader getUpstream() const;
 
+  inline  ::uint64_t getGeneration() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1528,6 +1530,9 @@
   inline void adoptUpstream(::capnp::Orphan< ::celeryline::rpc::Announcement>&& value);
   inline ::capnp::Orphan< ::celeryline::rpc::Announcement> disownUpstream();
 
+  inline  ::uint64_t getGeneration();
+  inline void setGeneration( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4684,6 +4689,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t RegistryChange::Reader::getGeneration() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t RegistryChange::Builder::getGeneration() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void RegistryChange::Builder::setGeneration( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RegistryDelta::Reader::hasManager() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- /dev/null
+++ b/src/UpstreamClaims.cpp
@@ -0,0 +1,42 @@
+#include "celeryline/UpstreamClaims.h"
+
+#include <cstdlib>
+#include <tuple>
+
+namespace celeryline::detail {
+
+namespace {
+
+bool isNear(std::int64_t a, std::int64_t b, std::int64_t capacity)
+{
+    return capacity == 0 || std::abs(a - b) <= capacity / 8;
+}
+
+} // namespace
+
+const UpstreamClaim* decidingClaim(const UpstreamClaims& claims)
+{
+    const UpstreamClaim* best = nullptr;
+    auto order = [](const UpstreamClaim& claim) {
+        return std::make_tuple(claim.upstream.bootEpoch, claim.generation);
+    };
+    // Managers are visited in the order of their names, so that equal generations are decided alike
+    // everywhere.
+    for (const auto& [manager, claim] : claims.byManager) {
+        if (claim.upstream.bootEpoch > claims.leftBoot && (!best || order(claim) > order(*best))) {
+            best = &claim;
+        }
+    }
+    return best;
+}
+
+bool isSameForPeers(const Announcement& a, const Announcement& b)
+{
+    Announcement other = b;
+    other.usage = a.usage;
+    return a == other && isNear(a.usage.cpuMilli, b.usage.cpuMilli, a.capacity.cpuMilli)
+        && isNear(a.usage.memoryMb, b.usage.memoryMb, a.capacity.memoryMb)
+        && isNear(a.usage.accelerators, b.usage.accelerators, a.capacity.accelerators);
+}
+
+} // namespace celeryline::detail
