--- a/include/celeryline/AnnounceEndpoint.h
+++ b/include/celeryline/AnnounceEndpoint.h
@@ -31,7 +31,8 @@
     /// @param registry takes the announcements.
     /// @param clock starts the leases.
     /// @param decider decides the instruction; empty always answers "serve".
-    AnnounceEndpoint(const AnnounceOptions& options, UpstreamRegistry& registry, const Clock& clock, Decider decider);
+    AnnounceEndpoint(
+        const AnnounceOptions& options, UpstreamRegistry& registry, const Clock& clock, Decider decider);
 
     void handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override;
 
--- a/src/AnnounceEndpoint.cpp
+++ b/src/AnnounceEndpoint.cpp
@@ -20,14 +20,17 @@
 constexpr std::size_t maxBody = 262144;
 const std::string path = "/v1/upstreams";
 
-std::string readBody(Poco::Net::HTTPServerRequest& request)
+std::string readBody(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response)
 {
     // One byte more than the limit is read, so that a body of unknown length is recognised as too long.
     std::string body(maxBody + 1, '\0');
     request.stream().read(&body[0], static_cast<std::streamsize>(body.size()));
     body.resize(static_cast<std::size_t>(request.stream().gcount()));
     if (body.size() > maxBody) {
-        throw Error(ErrorKind::LimitExceeded, "the announcement is longer than " + std::to_string(maxBody) + " bytes",
+        // The rest of the body would be taken for the next request on this connection.
+        response.setKeepAlive(false);
+        throw Error(ErrorKind::LimitExceeded,
+            "the announcement is longer than " + std::to_string(maxBody) + " bytes",
             "report fewer tasks at once");
     }
     return body;
@@ -68,7 +71,7 @@
     std::string name = rest.empty() ? "" : rest.substr(1);
     const auto& method = request.getMethod();
     if (method == "POST" && name.empty()) {
-        sendJson(response, announce(readBody(request)));
+        sendJson(response, announce(readBody(request, response)));
     } else if (method == "DELETE" && !name.empty()) {
         std::string bootId;
         for (const auto& [key, value] : uri.getQueryParameters()) {
--- a/src/AnnouncementJson.cpp
+++ b/src/AnnouncementJson.cpp
@@ -276,7 +276,8 @@
     }
     upstream.dataCentre = reader.label("dataCentre");
     if (upstream.dataCentre != dataCentre) {
-        fail("dataCentre", "is \"" + upstream.dataCentre + "\" but this entry instance serves \"" + dataCentre + "\"",
+        fail("dataCentre",
+            "is \"" + upstream.dataCentre + "\" but this entry instance serves \"" + dataCentre + "\"",
             "announce the upstream to an entry instance of its own data centre");
     }
     upstream.rack = reader.label("rack");
