--- a/include/celeryline/Invariant.h
+++ b/include/celeryline/Invariant.h
@@ -1,27 +1,22 @@
 /// @file
-/// Checks of conditions that only a fault in the program can break.
+/// Conditions that are checked in release builds too.
 #pragma once
 
-#include <stdexcept>
-#include <string>
+#include "celeryline/Error.h"
 
 namespace celeryline {
 
-/// Thrown when an invariant does not hold. The module that broke it must stop, because going on could
-/// spread a wrong state to other instances.
-class InvariantViolation : public std::logic_error {
-public:
-    using std::logic_error::logic_error;
-};
-
-/// Checks an invariant, in release builds too.
+/// Stops a decision whose result would break a guarantee. Decisions have no side effects, so nothing was
+/// done.
 /// @param holds the condition.
-/// @param what the condition in words, for the message.
-/// @throws InvariantViolation if it does not hold.
-inline void requireInvariant(bool holds, const char* what)
+/// @param what the guarantee, for the message.
+/// @throws Error of kind Unavailable if the condition doesn't hold.
+inline void invariant(bool holds, const char* what)
 {
-    if (!holds)
-        throw InvariantViolation(std::string("invariant broken: ") + what);
+    if (!holds) {
+        throw Error(ErrorKind::Unavailable, std::string("invariant broken: ") + what,
+            "nothing was done; report this message with the output of: celeryline get instances");
+    }
 }
 
 } // namespace celeryline
--- a/src/LogStorage.cpp
+++ b/src/LogStorage.cpp
@@ -1,7 +1,7 @@
 #include "celeryline/LogStorage.h"
 
 #include "celeryline/ByteCodec.h"
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/Logging.h"
 #include "celeryline/SegmentName.h"
 
--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -1,6 +1,6 @@
 #include "celeryline/RaftCore.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/RaftElection.cpp
+++ b/src/RaftElection.cpp
@@ -1,5 +1,5 @@
 // Elections: pre-vote, votes, leadership transfer to this replica.
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/RaftCore.h"
 
 namespace celeryline {
--- a/src/RaftFollower.cpp
+++ b/src/RaftFollower.cpp
@@ -1,6 +1,6 @@
 // Followers and learners: entries and snapshots from the leader.
 #include "celeryline/Error.h"
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/RaftCore.h"
 
 #include <algorithm>
--- a/src/RaftLeader.cpp
+++ b/src/RaftLeader.cpp
@@ -1,5 +1,5 @@
 // The leader: replication, commits, membership repair, leadership transfer.
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/RaftCore.h"
 
 #include <algorithm>
--- a/src/RaftLog.cpp
+++ b/src/RaftLog.cpp
@@ -1,6 +1,6 @@
 #include "celeryline/RaftLog.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 
 #include <algorithm>
 
--- a/src/ReplicatedLog.cpp
+++ b/src/ReplicatedLog.cpp
@@ -2,7 +2,7 @@
 
 #include "celeryline/CommandCodec.h"
 #include "celeryline/Error.h"
-#include "celeryline/Invariant.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/LogFormation.h"
 #include "celeryline/Logging.h"
 
@@ -110,7 +110,7 @@
             std::swap(inputs, m_inputs);
         }
         try {
-            runOnce(std::move(inputs));
+            runOnce(inputs);
         } catch (const std::exception& e) {
             fail(e.what());
         }
@@ -122,7 +122,7 @@
 {
     if (m_core == nullptr) {
         std::lock_guard<std::mutex> lock(m_mutex);
-        for (auto& proposal : inputs.proposals)
+        for (const auto& proposal : inputs.proposals)
             proposal.waiter->state = detail::SubmitState::Refused;
         m_changed.notify_all();
         return;
