--- a/src/RaftCore.cpp
+++ b/src/RaftCore.cpp
@@ -51,10 +51,11 @@
     if (!isVoter())
         return;
     bool isAlone = m_log.configuration().voters.size() == 1;
-    if (isAlone && m_role != ConsensusRole::Candidate)
+    if (isAlone && m_role != ConsensusRole::Candidate) {
         startElection(false);
-    else if (m_now >= m_electionDeadline)
+    } else if (m_now >= m_electionDeadline) {
         startPreVote();
+    }
 }
 
 void RaftCore::receive(Millis now, const RaftMessage& message)
@@ -82,10 +83,11 @@
     case RaftMessageKind::Append:
     case RaftMessageKind::Snapshot:
         if (isForThisReplica || message.to.storageId.empty()) {
-            if (message.kind == RaftMessageKind::Append)
+            if (message.kind == RaftMessageKind::Append) {
                 onAppend(message);
-            else
+            } else {
                 onSnapshot(message);
+            }
         } else if (message.term >= m_term.term) {
             // Tells the leader which replica is here instead of the one it knows.
             auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
@@ -177,10 +179,11 @@
         m_durableIndex = pending.lastIndex;
     std::vector<HeldMessage> stillHeld;
     for (auto& held : m_held) {
-        if (held.persistId <= persistId)
+        if (held.persistId <= persistId) {
             send(std::move(held.message));
-        else
+        } else {
             stillHeld.push_back(std::move(held));
+        }
     }
     m_held = std::move(stillHeld);
     if (m_role == ConsensusRole::Candidate && !m_isPreVote && m_term.votedFor == m_options.self
@@ -210,12 +213,13 @@
 
 void RaftCore::sendWhenPersisted(RaftMessage message)
 {
-    if (m_mustPersist)
+    if (m_mustPersist) {
         m_held.push_back({ m_nextPersistId, std::move(message) });
-    else if (!m_pendingPersists.empty())
+    } else if (!m_pendingPersists.empty()) {
         m_held.push_back({ m_pendingPersists.back().id, std::move(message) });
-    else
+    } else {
         send(std::move(message));
+    }
 }
 
 void RaftCore::setCommitIndex(std::uint64_t index)
--- a/src/RaftElection.cpp
+++ b/src/RaftElection.cpp
@@ -89,10 +89,11 @@
     m_votes.insert(voter.name);
     if (m_votes.size() < m_log.configuration().majority())
         return;
-    if (m_isPreVote)
+    if (m_isPreVote) {
         startElection(false);
-    else if (m_votes.count(m_options.self.name) != 0)
+    } else if (m_votes.count(m_options.self.name) != 0) {
         becomeLeader();
+    }
 }
 
 void RaftCore::becomeLeader()
--- a/src/RaftFollower.cpp
+++ b/src/RaftFollower.cpp
@@ -117,10 +117,11 @@
         m_receivingIndex = message.logIndex;
         m_receivingTerm = message.logTerm;
     }
-    if (message.snapshotOffset == m_receiving.size())
+    if (message.snapshotOffset == m_receiving.size()) {
         m_receiving += message.snapshotChunk;
-    else
+    } else {
         reply.rejected = true;
+    }
     if (!reply.rejected && message.snapshotEnd) {
         try {
             installSnapshot(message);
--- a/src/RaftLeader.cpp
+++ b/src/RaftLeader.cpp
@@ -23,12 +23,13 @@
     std::vector<std::int64_t> times;
     for (const auto& voter : m_log.configuration().voters) {
         const auto* replica = configured(voter);
-        if (voter == m_options.self)
+        if (voter == m_options.self) {
             times.push_back(m_now.count);
-        else
+        } else {
             times.push_back(replica == nullptr
                     ? m_leadingSince.count
                     : std::max(replica->heardSendTime.count, m_leadingSince.count));
+        }
     }
     std::sort(times.rbegin(), times.rend());
     return { times[m_log.configuration().majority() - 1] };
@@ -52,10 +53,11 @@
     std::vector<std::uint64_t> matches;
     for (const auto& voter : m_log.configuration().voters) {
         const auto* replica = configured(voter);
-        if (voter == m_options.self)
+        if (voter == m_options.self) {
             matches.push_back(m_durableIndex);
-        else
+        } else {
             matches.push_back(replica == nullptr ? 0 : replica->match);
+        }
     }
     std::sort(matches.rbegin(), matches.rend());
     return matches[m_log.configuration().majority() - 1];
@@ -166,10 +168,11 @@
             if (!isPaused || replica.isProbing)
                 message.entries = m_log.slice(replica.next, m_log.lastIndex(), limit);
         }
-        if (replica.isProbing)
+        if (replica.isProbing) {
             replica.isProbeSent = true;
-        else
+        } else {
             replica.next += message.entries.size();
+        }
         replica.commitSent = m_commitIndex;
         isFirst = false;
         send(std::move(message));
--- a/src/RaftStorage.cpp
+++ b/src/RaftStorage.cpp
@@ -76,9 +76,10 @@
     }
 
     auto snapshotIndex = state.snapshot.index;
-    if (!state.entries.empty() && state.entries.front().index > snapshotIndex + 1)
+    if (!state.entries.empty() && state.entries.front().index > snapshotIndex + 1) {
         failCorrupt("log entries before " + std::to_string(state.entries.front().index) + " are missing in \""
             + m_directory + "\"");
+    }
     std::size_t covered = 0;
     while (covered < state.entries.size() && state.entries[covered].index <= snapshotIndex)
         ++covered;
--- a/src/ReplicatedLog.cpp
+++ b/src/ReplicatedLog.cpp
@@ -2,8 +2,8 @@
 
 #include "celeryline/CommandCodec.h"
 #include "celeryline/Error.h"
-#include "celeryline/LogInvariant.h"
 #include "celeryline/LogFormation.h"
+#include "celeryline/LogInvariant.h"
 #include "celeryline/Logging.h"
 
 #include <algorithm>
