--- a/src/DiskFileSystem.cpp
+++ b/src/DiskFileSystem.cpp
@@ -52,10 +52,11 @@
         std::size_t written = 0;
         while (written < bytes.size()) {
             auto count = ::write(m_descriptor.value(), bytes.data() + written, bytes.size() - written);
-            if (count >= 0)
+            if (count >= 0) {
                 written += static_cast<std::size_t>(count);
-            else if (errno != EINTR)
+            } else if (errno != EINTR) {
                 fail("writing", m_path, errno);
+            }
         }
     }
 
@@ -86,10 +87,11 @@
         auto count = ::read(file.value(), block.data(), block.size());
         if (count == 0)
             return content;
-        if (count > 0)
+        if (count > 0) {
             content.append(block, 0, static_cast<std::size_t>(count));
-        else if (errno != EINTR)
+        } else if (errno != EINTR) {
             fail("reading", path, errno);
+        }
     }
 }
 
