Add TCP links that a test can cut to the process harness

Cause: partitions, one-way cuts and silent connections must be brought about between real processes. Change: scripts/lib/links.py forwards every call between entry instances through a link of its own.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -9,6 +9,8 @@
 import urllib.error
 import urllib.request
 
+from links import Links
+
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BINARY = os.path.join(ROOT, os.environ.get("CELERYLINE_BUILD", "build"), "celeryline")
 KIT = os.path.join(ROOT, os.environ.get("CELERYLINE_BUILD", "build"), "celeryline-testkit")
@@ -45,13 +47,14 @@
 class Fleet:
     """The processes of one site."""
 
-    def __init__(self, run_dir, site=None, overrides=None):
+    def __init__(self, run_dir, site=None, overrides=None, with_links=False):
         self.run_dir = os.path.abspath(run_dir)
         shutil.rmtree(self.run_dir, ignore_errors=True)
         os.makedirs(f"{self.run_dir}/log")
         self.instances = {}
         self.processes = {}
         self.upstreams = {}
+        self.links = Links() if with_links else None
         if site:
             self._load(os.path.join(ROOT, "examples", site), overrides or {})
 
@@ -63,10 +66,18 @@
             for key, value in overrides.items():
                 settings.setdefault(key, {})
                 settings[key] = {**settings[key], **value} if isinstance(value, dict) else value
+            if self.links:
+                self._insert_links(settings)
             with open(f"{self.run_dir}/instances/{name}", "w") as out:
                 json.dump(settings, out, indent=2)
             self.instances[settings["name"]] = settings
 
+    def _insert_links(self, settings):
+        for peer in settings["peers"]:
+            if peer["name"] != settings["name"]:
+                for key in ("peer", "http"):
+                    peer[key] = self.links.add(settings["name"], peer["name"], peer[key])
+
     def _spawn(self, arguments, log):
         with open(f"{self.run_dir}/log/{log}", "a") as out:
             return subprocess.Popen(arguments, cwd=self.run_dir, stdout=out, stderr=subprocess.STDOUT)
