Add the fleet state machine

Cause: operators' and the system's changes to the fleet had no implementation. Permits and operators' drains are checked against the service's budget again when they are applied.

--- a/include/celeryline/FleetState.h
+++ b/include/celeryline/FleetState.h
@@ -30,8 +30,11 @@
     ObjectMap<Permit> permits = std::make_shared<const std::map<std::string, Permit>>(); ///< By instance.
     ObjectMap<Quota> quotas = std::make_shared<const std::map<std::string, Quota>>();
     ObjectMap<Job> jobs = std::make_shared<const std::map<std::string, Job>>();
-    /// Revision of the last change of each object, by "kind/name"; decides conflicts.
+    /// Revision of the last change of each object but jobs, by "kind/name"; decides conflicts. Deleted pools,
+    /// services and quotas keep theirs, so that a change based on an older revision doesn't bring them back.
     ObjectMap<std::uint64_t> objectRevisions = std::make_shared<const std::map<std::string, std::uint64_t>>();
+    /// Id of the command that changed each object last, by "kind/name"; named in conflicts.
+    ObjectMap<std::string> objectCommands = std::make_shared<const std::map<std::string, std::string>>();
 };
 
 } // namespace celeryline
--- a/include/celeryline/Job.h
+++ b/include/celeryline/Job.h
@@ -30,14 +30,16 @@
     std::uint64_t fence = 0; ///< Revision of the placement; a worker refuses older ones.
     Millis submitted; ///< Log entry time.
     std::string reason; ///< Why it waits, was refused or failed.
+    Millis ended; ///< Log entry time of the end; zero before.
+    std::uint64_t revision = 0; ///< Of the last change.
 };
 
 inline bool operator==(const Job& a, const Job& b)
 {
     return std::tie(a.id, a.team, a.kind, a.pool, a.selector, a.urgent, a.repeatable, a.declared, a.phase,
-               a.worker, a.fence, a.submitted, a.reason)
+               a.worker, a.fence, a.submitted, a.reason, a.ended, a.revision)
         == std::tie(b.id, b.team, b.kind, b.pool, b.selector, b.urgent, b.repeatable, b.declared, b.phase,
-            b.worker, b.fence, b.submitted, b.reason);
+            b.worker, b.fence, b.submitted, b.reason, b.ended, b.revision);
 }
 
 /// What a team may use at once without borrowing.
--- /dev/null
+++ b/src/FleetWaveOperations.cpp
@@ -0,0 +1,257 @@
+#include "celeryline/FleetCodec.h"
+#include "celeryline/FleetOperations.h"
+#include "celeryline/PoolMembership.h"
+
+#include <algorithm>
+
+namespace celeryline::detail {
+
+namespace {
+
+/// Budgets of the services that one command touches, counted once.
+class BudgetCounter {
+public:
+    explicit BudgetCounter(const FleetDraft& draft)
+        : m_draft(draft)
+    {
+    }
+
+    /// @return the budget to take a place from.
+    ServiceBudget& of(const Service& service)
+    {
+        auto it = m_budgets.find(service.name);
+        if (it == m_budgets.end()) {
+            auto budget
+                = budgetOf(m_draft.pools.read(), m_draft.instances.read(), m_draft.permits.read(), service);
+            it = m_budgets.emplace(service.name, budget).first;
+        }
+        return it->second;
+    }
+
+private:
+    const FleetDraft& m_draft;
+    std::map<std::string, ServiceBudget> m_budgets;
+};
+
+std::string changedSince(
+    const FleetDraft& draft, const std::string& kind, const std::string& name, std::uint64_t revision)
+{
+    auto changed = draft.revisionOf(kind, name);
+    return changed <= revision ? ""
+                               : kind + " \"" + name + "\" changed at revision " + std::to_string(changed)
+            + ", after the decision at revision " + std::to_string(revision);
+}
+
+std::string waveObjection(const FleetDraft& draft, const PermitRequest& request)
+{
+    const auto* wave = draft.waves.find(request.wave);
+    if (!wave) {
+        return "wave \"" + request.wave + "\" does not exist";
+    }
+    if (wave->state != WaveState::Running) {
+        return "wave \"" + request.wave + "\" is " + nameOf(wave->state);
+    }
+    if (wave->pending.count(request.instance) == 0) {
+        return "wave \"" + request.wave + "\" does not wait for it";
+    }
+    return "";
+}
+
+/// @return why the permit is refused; empty if it is granted, which takes a place of the service's budget.
+std::string objection(const FleetDraft& draft, const PermitRequest& request, BudgetCounter& budgets)
+{
+    const auto* instance = draft.instances.find(request.instance);
+    if (!instance) {
+        return "it does not exist";
+    }
+    if (draft.permits.find(request.instance)) {
+        return "it has a permit already";
+    }
+    auto reason = changedSince(draft, "instance", request.instance, request.revision);
+    if (!reason.empty()) {
+        return reason;
+    }
+    auto needed = request.wave.empty() ? InstancePhase::Moving : InstancePhase::Serving;
+    if (instance->phase != needed) {
+        return std::string("its phase is ") + nameOf(instance->phase);
+    }
+    reason = request.wave.empty() ? "" : waveObjection(draft, request);
+    const auto* pool = draft.pools.find(instance->pool);
+    if (!reason.empty() || !pool) {
+        return reason;
+    }
+    reason = changedSince(draft, "pool", pool->name, request.revision);
+    if (reason.empty()) {
+        reason = changedSince(draft, "service", pool->service, request.revision);
+    }
+    const auto* service = pool->guarded ? draft.services.find(pool->service) : nullptr;
+    if (!reason.empty() || !service) {
+        return reason;
+    }
+    // Instances may have failed since the decision, so the budget is counted again.
+    auto& budget = budgets.of(*service);
+    if (budget.room() < 1) {
+        return "service \"" + service->name + "\" has " + std::to_string(budget.down) + " of "
+            + std::to_string(budget.total) + " instances down and its budget allows "
+            + std::to_string(budget.allowedDown);
+    }
+    ++budget.down;
+    return "";
+}
+
+void grant(FleetDraft& draft, const PermitRequest& request)
+{
+    Instance instance = draft.instance(request.instance);
+    if (instance.phase == InstancePhase::Serving) {
+        draft.setPhase(instance, InstancePhase::Draining);
+    }
+    draft.update(instance);
+    draft.permits.write()[request.instance] = { request.instance, request.wave, instance.dataCentre,
+        draft.nextRevision(), draft.now + request.lease };
+    draft.touch("permit", request.instance);
+}
+
+void dropOldWaves(FleetDraft& draft)
+{
+    std::vector<std::pair<std::int64_t, std::string>> finished;
+    for (const auto& [name, wave] : draft.waves.read()) {
+        if (wave.state == WaveState::Done) {
+            finished.emplace_back(wave.ended.count, name);
+        }
+    }
+    if (finished.size() <= maxFinishedWaves) {
+        return;
+    }
+    std::sort(finished.begin(), finished.end());
+    finished.resize(finished.size() - maxFinishedWaves);
+    for (const auto& [ended, name] : finished) {
+        draft.waves.write().erase(name);
+    }
+}
+
+} // namespace
+
+OperationResult startWave(FleetDraft& draft, const FleetCommand& command)
+{
+    if (draft.waves.find(command.name)) {
+        throw Error(
+            ErrorKind::Conflict, "wave \"" + command.name + "\" exists already", "choose another name");
+    }
+    Wave wave;
+    wave.name = command.name;
+    wave.selector = command.selector;
+    wave.started = draft.now;
+    for (const auto& [name, instance] : draft.instances.read()) {
+        if (matches(command.selector, instance.labels)) {
+            wave.pending.insert(name);
+        }
+    }
+    if (wave.pending.empty()) {
+        throw Error(ErrorKind::InvalidInput,
+            "the selector \"" + toText(command.selector) + "\" matches no instance",
+            "compare it with the labels shown by: celeryline get instances");
+    }
+    OperationResult result = new Poco::JSON::Object;
+    result->set("instances", wave.pending.size());
+    draft.waves.write()[wave.name] = wave;
+    draft.touch("wave", wave.name);
+    return result;
+}
+
+OperationResult setWaveState(FleetDraft& draft, const FleetCommand& command)
+{
+    const auto& wave = draft.wave(command.name);
+    draft.refuseIfChanged("wave", command.name, true, command.baseRevision);
+    if (wave.state == WaveState::Done) {
+        throw Error(ErrorKind::Conflict, "wave \"" + command.name + "\" is done", "start a new one");
+    }
+    auto state = command.operation == FleetOperation::PauseWave ? WaveState::Paused : WaveState::Running;
+    if (wave.state != state) {
+        draft.waves.write()[command.name].state = state;
+        draft.touch("wave", command.name);
+    }
+    return {};
+}
+
+OperationResult endWave(FleetDraft& draft, const FleetCommand& command)
+{
+    const auto& wave = draft.wave(command.name);
+    if (wave.state == WaveState::Done) {
+        return {};
+    }
+    if (!wave.pending.empty()) {
+        throw Error(ErrorKind::Conflict,
+            "wave \"" + command.name + "\" still waits for " + std::to_string(wave.pending.size())
+                + " instances",
+            "wait for them or abandon them");
+    }
+    auto& changed = draft.waves.write()[command.name];
+    changed.state = WaveState::Done;
+    changed.ended = draft.now;
+    draft.touch("wave", command.name);
+    dropOldWaves(draft);
+    return {};
+}
+
+OperationResult grantPermits(FleetDraft& draft, const FleetCommand& command)
+{
+    Poco::JSON::Array::Ptr granted = new Poco::JSON::Array;
+    Poco::JSON::Array::Ptr refused = new Poco::JSON::Array;
+    // All are judged before the first is granted: each grant changes the instance's revision only, but the
+    // budgets are counted once.
+    BudgetCounter budgets(draft);
+    std::vector<PermitRequest> accepted;
+    std::set<std::string> seen;
+    std::string firstReason;
+    for (const auto& request : command.permits) {
+        auto reason = seen.insert(request.instance).second ? objection(draft, request, budgets)
+                                                           : "it is listed twice";
+        if (reason.empty()) {
+            accepted.push_back(request);
+            granted->add(request.instance);
+            continue;
+        }
+        Poco::JSON::Object::Ptr item = new Poco::JSON::Object;
+        item->set("instance", request.instance);
+        item->set("reason", reason);
+        refused->add(item);
+        if (firstReason.empty()) {
+            firstReason = "instance \"" + request.instance + "\" gets no permit: " + reason;
+        }
+    }
+    if (accepted.empty()) {
+        throw Error(ErrorKind::Conflict, firstReason, "decide again on the newest revision");
+    }
+    for (const auto& request : accepted) {
+        grant(draft, request);
+    }
+    OperationResult result = new Poco::JSON::Object;
+    result->set("granted", granted);
+    result->set("refused", refused);
+    return result;
+}
+
+OperationResult abandonInstance(FleetDraft& draft, const FleetCommand& command)
+{
+    Instance instance = draft.instance(command.name);
+    const auto* permit = draft.permits.find(command.name);
+    bool hasWavePermit = permit && permit->wave == command.wave;
+    if (const auto* wave = draft.waves.find(command.wave); wave && wave->pending.count(command.name) != 0) {
+        auto& changed = draft.waves.write()[command.wave];
+        changed.pending.erase(command.name);
+        changed.abandoned.insert(command.name);
+        draft.touch("wave", command.wave);
+    }
+    if (hasWavePermit && instance.phase == InstancePhase::Rebooting) {
+        endPermit(draft, command.name);
+        draft.setPhase(instance, InstancePhase::Failed);
+        instance.pool = poolFor(draft.pools.read(), instance);
+        instance.nextPool.clear();
+        draft.update(instance);
+    } else if (hasWavePermit && instance.phase == InstancePhase::Draining) {
+        return undrainInstance(draft, command);
+    }
+    return {};
+}
+
+} // namespace celeryline::detail
--- /dev/null
+++ b/src/PoolMembership.cpp
@@ -0,0 +1,117 @@
+#include "celeryline/PoolMembership.h"
+
+#include "celeryline/Error.h"
+
+#include <algorithm>
+
+namespace celeryline {
+
+namespace {
+
+bool owns(const Pool& pool, const Instance& instance)
+{
+    const auto& centres = pool.dataCentres;
+    bool isInReach
+        = centres.empty() || std::find(centres.begin(), centres.end(), instance.dataCentre) != centres.end();
+    return isInReach && matches(pool.selector, instance.labels);
+}
+
+[[noreturn]] void breach(const Instance& instance, const std::string& what)
+{
+    throw Error(ErrorKind::Corrupt, "invariant broken: instance \"" + instance.name + "\" " + what,
+        "stop this process and report the last log entry; its state can't be trusted");
+}
+
+void checkInstance(const FleetState& fleet, const Instance& instance)
+{
+    const auto& pools = *fleet.pools;
+    std::string target;
+    try {
+        target = poolFor(pools, instance);
+    } catch (const Error& e) {
+        breach(instance, std::string("is owned twice: ") + e.what());
+    }
+    if (!instance.pool.empty() && pools.count(instance.pool) == 0) {
+        breach(instance, "is owned by the pool \"" + instance.pool + "\", which does not exist");
+    }
+    bool isSettled = instance.phase == InstancePhase::Serving || instance.phase == InstancePhase::Failed;
+    const auto& next = isSettled || instance.nextPool.empty() ? instance.pool : instance.nextPool;
+    bool leavesAllPools = !isSettled && target.empty();
+    if (next != target && !leavesAllPools) {
+        breach(instance, "belongs to \"" + target + "\" but is owned by \"" + next + "\"");
+    }
+    if (instance.phase == InstancePhase::Moving && instance.pool == target) {
+        breach(instance, "moves but is already owned by \"" + target + "\"");
+    }
+}
+
+} // namespace
+
+std::string poolFor(const std::map<std::string, Pool>& pools, const Instance& instance)
+{
+    const std::string* found = nullptr;
+    for (const auto& [name, pool] : pools) {
+        if (!owns(pool, instance)) {
+            continue;
+        }
+        if (found) {
+            throw Error(ErrorKind::InvalidInput,
+                "the selectors of pools \"" + *found + "\" and \"" + name + "\" both match instance \""
+                    + instance.name + "\"",
+                "narrow one of the selectors or change the instance's labels");
+        }
+        found = &name;
+    }
+    return found ? *found : "";
+}
+
+void checkOwnership(const FleetState& fleet, const FleetState* before)
+{
+    bool samePools = before && before->pools == fleet.pools;
+    if (samePools && before->instances == fleet.instances) {
+        return;
+    }
+    for (const auto& [name, instance] : *fleet.instances) {
+        if (samePools) {
+            auto old = before->instances->find(name);
+            if (old != before->instances->end() && old->second == instance) {
+                continue;
+            }
+        }
+        checkInstance(fleet, instance);
+    }
+}
+
+bool isDown(const Instance& instance, bool hasPermit)
+{
+    switch (instance.phase) {
+    case InstancePhase::Serving:
+        return false;
+    case InstancePhase::Moving:
+        return hasPermit;
+    case InstancePhase::Draining:
+    case InstancePhase::Rebooting:
+    case InstancePhase::Failed:
+        return true;
+    }
+    return true;
+}
+
+ServiceBudget budgetOf(const std::map<std::string, Pool>& pools,
+    const std::map<std::string, Instance>& instances, const std::map<std::string, Permit>& permits,
+    const Service& service)
+{
+    ServiceBudget budget;
+    for (const auto& [name, instance] : instances) {
+        auto pool = pools.find(instance.pool);
+        if (pool != pools.end() && pool->second.service == service.name && pool->second.guarded) {
+            ++budget.total;
+            budget.down += isDown(instance, permits.count(name) != 0) ? 1 : 0;
+        }
+    }
+    budget.allowedDown = std::max(
+        0, std::min(budget.total * service.maxUnavailablePercent / 100, budget.total - service.minAvailable));
+    return budget;
+}
+
+} // namespace celeryline
