Forward callers' requests to runners over /call/

Callers need one address for all services, with a truthful outcome for each request. CallEndpoint reads and checks a request in full, the router takes a slot of a runner, and UpstreamPool carries the exchange on a connection that serves one exchange at a time. Poco's body streams restart their timeout with each byte and take a chunked body that breaks off for a whole one, so BodyReader reads the session itself.

--- /dev/null
+++ b/include/celeryline/CallEndpoint.h
@@ -0,0 +1,29 @@
+/// @file
+/// Serves callers' requests below `/call/`.
+#pragma once
+
+#include "celeryline/CallHandler.h"
+#include "celeryline/CallReader.h"
+#include "celeryline/HttpEndpoint.h"
+#include "celeryline/Metrics.h"
+
+namespace celeryline {
+
+/// Serves callers' requests: `/call/SERVICE/PATH...`. Every answer carries its outcome.
+class CallEndpoint final : public HttpEndpoint {
+public:
+    /// @param settings limits and routing are used.
+    /// @param handler runs the requests.
+    /// @param clock measures deadlines.
+    /// @param metrics counts refused requests.
+    CallEndpoint(const Settings& settings, CallHandler& handler, const Clock& clock, Metrics& metrics);
+
+    void handle(Poco::Net::HTTPServerRequest& request, Poco::Net::HTTPServerResponse& response) override;
+
+private:
+    CallReader m_reader;
+    CallHandler& m_handler;
+    prometheus::Counter& m_malformed;
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/CallHandler.h
@@ -0,0 +1,64 @@
+/// @file
+/// Runs callers' requests.
+#pragma once
+
+#include "celeryline/CallAnswer.h"
+#include "celeryline/CallRequest.h"
+#include "celeryline/ClaimClient.h"
+#include "celeryline/Router.h"
+#include "celeryline/UpstreamPool.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace celeryline {
+
+/// Runs callers' requests: claims, slots, tries, and other data centres. Thread-safe.
+class CallHandler {
+public:
+    /// @param settings name, data centre, peers and routing are used.
+    /// @param claims claims of non-repeatable requests.
+    /// @param isLive whether another entry instance is live, by name; empty takes all for live.
+    CallHandler(const Settings& settings, Router& router, UpstreamPool& pool, ClaimClient& claims,
+        const Clock& clock, std::function<bool(const std::string&)> isLive);
+
+    /// Runs a request.
+    /// @param call the request.
+    /// @param sink receives an answer that is too large to be held.
+    /// @return what the caller is told.
+    CallAnswer run(const CallRequest& call, CallSink& sink);
+
+private:
+    struct Tries;
+
+    CallAnswer runOnce(const CallRequest& call, const ServiceEntry& entry, bool isRepeatable, CallSink& sink);
+    bool tryRunner(Tries& tries, SlotTicket& ticket);
+    bool tryPeers(Tries& tries, SlotRefusal refusal);
+    bool tryPeer(Tries& tries, const PeerSettings& peer);
+    bool mayRetry(Tries& tries, bool mustPay);
+    std::string makeHead(const CallRequest& call, const std::string& address, const std::string& target,
+        const std::string& requestId, bool toPeer) const;
+
+    std::string m_name;
+    std::string m_dataCentre;
+    std::vector<PeerSettings> m_peers;
+    Millis m_tryTimeout;
+    std::string m_peerToken;
+    bool m_hidesToken;
+    Router& m_router;
+    UpstreamPool& m_pool;
+    ClaimClient& m_claims;
+    const Clock& m_clock;
+    std::function<bool(const std::string&)> m_isLive;
+    std::atomic<std::uint64_t> m_lastRequest { 0 };
+    std::atomic<std::uint32_t> m_peerTurn { 0 };
+};
+
+/// @param service a service.
+/// @param call a request.
+/// @return whether it may be sent again without a claim.
+bool isRepeatable(const Service& service, const CallRequest& call);
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/RoutingState.h
@@ -0,0 +1,33 @@
+/// @file
+/// The routes with their credits and queues.
+#pragma once
+
+#include "celeryline/RouteTable.h"
+#include "celeryline/RunnerCredits.h"
+#include "celeryline/ServiceQueue.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// The routes with their credits and queues; immutable but for what it points to.
+struct RoutingState {
+    /// A service that uses a runner.
+    struct User {
+        std::string service;
+        ServiceQueue* queue = nullptr;
+    };
+
+    RouteTable table;
+    std::vector<std::shared_ptr<RunnerCredits>> credits; ///< In the order of table.runners.
+    std::map<std::string, std::shared_ptr<ServiceQueue>> queues; ///< By service.
+    std::vector<std::vector<User>> owners; ///< By runner: services whose selector matches it.
+    std::vector<std::vector<User>> borrowers; ///< By runner: services that may use its spare slots.
+};
+
+/// A request that waits for a slot.
+struct SlotWaiter;
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/RunnerAnswer.h
@@ -0,0 +1,27 @@
+/// @file
+/// An HTTP answer of a runner or of another data centre.
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celeryline {
+
+/// Header fields in the order they were received.
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
+
+/// An HTTP answer. Its body is whole unless it was streamed.
+struct RunnerAnswer {
+    int status = 0;
+    std::string reason;
+    HeaderFields fields;
+    std::string body;
+};
+
+/// @param fields header fields.
+/// @param name a field name; its case is ignored.
+/// @return the first value with that name, or nullptr.
+const std::string* findField(const HeaderFields& fields, const std::string& name);
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/SlotCredits.h
@@ -0,0 +1,87 @@
+/// @file
+/// The slots of all runners of a data centre that this instance may use.
+#pragma once
+
+#include "celeryline/CreditRequest.h"
+#include "celeryline/CreditShare.h"
+#include "celeryline/RouteTable.h"
+#include "celeryline/RunnerCredits.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celeryline {
+
+/// Divides the slots of the runners between the live entry instances of a data centre and lends unused ones.
+/// Thread-safe. Contains no clock.
+class SlotCredits {
+public:
+    /// @param instance this instance.
+    /// @param bootEpoch its boot epoch.
+    /// @param settle time in which all instances notice a change of the live set (leases.peerTimeoutMs).
+    /// @param longestRequest longest time a request can last; a loan that was not returned ends after it.
+    /// @param now the time.
+    SlotCredits(
+        std::string instance, std::uint64_t bootEpoch, Millis settle, Millis longestRequest, Millis now);
+
+    /// Adopts new routes and returns the credits of their runners in the same order. Requests in progress on
+    /// runners that are gone are still counted when these come back.
+    std::vector<std::shared_ptr<RunnerCredits>> adopt(const RouteTable& table);
+
+    /// Recomputes the shares. To be called often, with the newest live instances.
+    void tick(Millis now, const std::vector<std::string>& live);
+
+    /// @param now the time.
+    /// @return whether tick() was called so lately that credits may be used. To be checked again directly
+    /// before the first byte is sent, since the process may have been suspended in between.
+    bool isFresh(Millis now) const { return now.count < m_freshUntil.load(std::memory_order_relaxed); }
+
+    /// Lends unused slots and takes back returned ones.
+    /// @param now the time.
+    /// @param request the request of another instance.
+    /// @param runners runners whose slots may be lent, as indices into the routes.
+    /// @return what was lent.
+    CreditGrant onRequest(Millis now, const CreditRequest& request, const std::vector<std::size_t>& runners);
+
+    /// Adds what another instance lent.
+    /// @param lender the other instance.
+    /// @param grant its answer.
+    /// @param sent when the request was sent; the lease counts from then.
+    /// @return the number of borrowed slots.
+    std::uint32_t onGrant(const std::string& lender, const CreditGrant& grant, Millis sent);
+
+    /// @param now the time.
+    /// @return loans to give back, by lender.
+    std::map<std::string, std::vector<SlotCredit>> takeReturns(Millis now);
+
+    /// @return a request without content from this instance.
+    CreditRequest makeRequest() const;
+
+private:
+    void forgetLostBorrowers(Millis now, const std::vector<std::string>& live);
+
+    using Key = std::pair<std::string, std::uint64_t>; ///< Runner and its boot epoch.
+    struct Entry {
+        std::shared_ptr<RunnerCredits> credits;
+        std::uint32_t slots = 0; ///< 0 if no route leads to it.
+    };
+
+    std::string m_instance;
+    std::uint64_t m_bootEpoch;
+    Millis m_settle;
+    Millis m_longestRequest;
+    std::mutex m_mutex; ///< Not taken for single requests.
+    CreditShare m_share;
+    std::map<Key, Entry> m_entries;
+    std::vector<Key> m_routed; ///< In the order of the routes.
+    std::map<std::string, Millis> m_borrowers; ///< When each was last seen live.
+    std::atomic<std::int64_t> m_freshUntil { 0 };
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/src/BodyReader.cpp
@@ -0,0 +1,152 @@
+#include "celeryline/BodyReader.h"
+
+#include "celeryline/CallRefused.h"
+
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+
+namespace celeryline {
+
+namespace {
+
+constexpr std::size_t maxChunkLineBytes = 1024;
+constexpr const char* tooLate = "the body did not arrive in time or its connection broke; send it again";
+
+/// Names the reading functions of a session, which Poco reserves for its streams.
+struct SessionReading : Poco::Net::HTTPSession {
+    using HTTPSession::buffered;
+    using HTTPSession::get;
+    using HTTPSession::read;
+};
+
+} // namespace
+
+std::string bodyTooLarge(std::size_t limit)
+{
+    return "the body is larger than " + std::to_string(limit) + " bytes (limits.maxBodyBytes); send less";
+}
+
+BodyReader::BodyReader(
+    Poco::Net::HTTPServerRequestImpl& request, std::size_t limit, Millis until, const Clock& clock)
+    : m_session(request.session())
+    , m_socket(request.socket())
+    , m_limit(limit)
+    , m_until(until)
+    , m_clock(clock)
+{
+}
+
+BodyReader::~BodyReader()
+{
+    try {
+        if (m_usualTimeout) {
+            m_socket.setReceiveTimeout(*m_usualTimeout);
+        }
+    } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): the connection is broken anyway.
+    }
+}
+
+std::string BodyReader::readFixed(std::size_t length)
+{
+    std::string body;
+    append(body, length);
+    return body;
+}
+
+std::string BodyReader::readChunked()
+{
+    std::string body;
+    for (;;) {
+        const auto line = readLine();
+        const auto size = Poco::trim(line.substr(0, line.find(';')));
+        unsigned length = 0;
+        if (size.size() > 7 || !Poco::NumberParser::tryParseHex(size, length) || size.find('x') == 1) {
+            throw CallRefused(400, "a chunk size in the body is malformed");
+        }
+        if (length == 0) {
+            break;
+        }
+        if (body.size() + length > m_limit) {
+            throw CallRefused(413, bodyTooLarge(m_limit));
+        }
+        append(body, length);
+        if (!readLine().empty()) {
+            throw CallRefused(400, "a chunk of the body is longer than its size");
+        }
+    }
+    while (!readLine().empty()) { } // Trailer fields are not passed on.
+    return body;
+}
+
+void BodyReader::beforeReceive()
+{
+    if ((m_session.*(&SessionReading::buffered))() > 0) {
+        return;
+    }
+    const auto left = m_until - m_clock.now();
+    if (left.count <= 0) {
+        throw CallRefused(408, tooLate);
+    }
+    if (!m_usualTimeout) {
+        m_usualTimeout = m_socket.getReceiveTimeout();
+    }
+    m_socket.setReceiveTimeout(Poco::Timespan(left.count * 1000));
+}
+
+int BodyReader::get()
+{
+    beforeReceive();
+    try {
+        return (m_session.*(&SessionReading::get))();
+    } catch (const Poco::Exception&) {
+        throw CallRefused(408, tooLate);
+    }
+}
+
+std::string BodyReader::readLine()
+{
+    std::string line;
+    for (;;) {
+        const int c = get();
+        if (c == std::char_traits<char>::eof()) {
+            throw CallRefused(408, tooLate);
+        }
+        if (c == '\n') {
+            break;
+        }
+        if (line.size() >= maxChunkLineBytes) {
+            throw CallRefused(400, "a line of the body's chunked coding is too long");
+        }
+        line.push_back(static_cast<char>(c));
+    }
+    if (!line.empty() && line.back() == '\r') {
+        line.pop_back();
+    }
+    return line;
+}
+
+void BodyReader::append(std::string& body, std::size_t count)
+{
+    const std::size_t end = body.size() + count;
+    while (body.size() < end) {
+        beforeReceive();
+        // Grows with what has arrived, so that announced lengths alone take no memory.
+        const std::size_t at = body.size();
+        body.resize(std::min(end, at + 65536));
+        int got = 0;
+        try {
+            got = (m_session.*(&SessionReading::read))(
+                &body[at], static_cast<std::streamsize>(body.size() - at));
+        } catch (const Poco::Exception&) {
+            throw CallRefused(408, tooLate);
+        }
+        if (got <= 0) {
+            throw CallRefused(408, tooLate);
+        }
+        body.resize(at + static_cast<std::size_t>(got));
+    }
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/CallEndpoint.cpp
@@ -0,0 +1,138 @@
+#include "celeryline/CallEndpoint.h"
+
+#include "celeryline/CallRefused.h"
+#include "celeryline/RoleGuard.h"
+
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/String.h>
+
+#include <algorithm>
+#include <array>
+
+namespace celeryline {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerRequestImpl;
+using Poco::Net::HTTPServerResponse;
+
+bool isOwnField(const std::string& name)
+{
+    static const std::array<const char*, 9> own { "Connection", "Keep-Alive", "Transfer-Encoding",
+        "Content-Length", "Celeryline-Outcome", "Celeryline-Instance", "Celeryline-Request", "Retry-After",
+        "Upgrade" };
+    return std::any_of(
+        own.begin(), own.end(), [&](const char* other) { return Poco::icompare(name, other) == 0; });
+}
+
+void fillHead(const CallAnswer& answer, HTTPServerResponse& response)
+{
+    response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(answer.status));
+    response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+    for (const auto& field : answer.fields) {
+        const bool isRunners
+            = answer.outcome == Outcome::Done && Poco::icompare(field.first, "Retry-After") == 0;
+        if (isRunners || !isOwnField(field.first)) {
+            response.add(field.first, field.second);
+        }
+    }
+    response.set("Celeryline-Outcome", outcomeName(answer.outcome));
+    if (!answer.instance.empty()) {
+        response.set("Celeryline-Instance", answer.instance);
+    }
+    if (answer.outcome != Outcome::Done) {
+        response.set("Retry-After", std::to_string(answer.retryAfterSeconds));
+    }
+}
+
+void send(const CallAnswer& answer, bool isHead, HTTPServerResponse& response)
+{
+    fillHead(answer, response);
+    if (isHead || answer.status == 204 || answer.status == 304) {
+        if (const auto* length = findField(answer.fields, "Content-Length")) {
+            response.set("Content-Length", *length);
+        }
+        response.send();
+        return;
+    }
+    response.sendBuffer(answer.body.data(), answer.body.size());
+}
+
+/// Sends a large answer to the caller as it arrives.
+class StreamToCaller final : public CallSink {
+public:
+    explicit StreamToCaller(HTTPServerResponse& response)
+        : m_response(response)
+    {
+    }
+
+    void begin(const CallAnswer& head, std::int64_t length) override
+    {
+        fillHead(head, m_response);
+        if (length >= 0) {
+            m_response.setContentLength64(length);
+        } else {
+            m_response.setChunkedTransferEncoding(true);
+        }
+        m_stream = &m_response.send();
+    }
+
+    void write(const char* data, std::size_t size) override
+    {
+        if (!m_stream->write(data, static_cast<std::streamsize>(size))) {
+            throw Poco::IOException("the caller has gone");
+        }
+    }
+
+private:
+    HTTPServerResponse& m_response;
+    std::ostream* m_stream = nullptr;
+};
+
+} // namespace
+
+CallEndpoint::CallEndpoint(
+    const Settings& settings, CallHandler& handler, const Clock& clock, Metrics& metrics)
+    : m_reader(settings.limits, settings.routing, readToken(settings.security.peerTokenFile), clock)
+    , m_handler(handler)
+    , m_malformed(metrics.counter("celeryline_requests_refused_total",
+          "Requests refused before their service was looked up: malformed, too large or too slow."))
+{
+}
+
+void CallEndpoint::handle(HTTPServerRequest& request, HTTPServerResponse& response)
+{
+    const bool isHead = request.getMethod() == HTTPServerRequest::HTTP_HEAD;
+    auto& connection = dynamic_cast<HTTPServerRequestImpl&>(request);
+    CallRequest call;
+    try {
+        call = m_reader.read(request);
+    } catch (const CallRefused& e) {
+        m_malformed.Increment();
+        response.setKeepAlive(false);
+        send(refusal(e.status(), Outcome::NotRun, e.what()), isHead, response);
+        // The server would wait for an unread body, which may never come.
+        request.stream().setstate(std::ios::eofbit);
+        return;
+    }
+    StreamToCaller stream(response);
+    CallAnswer answer;
+    try {
+        answer = m_handler.run(call, stream);
+    } catch (...) {
+        if (response.sent()) {
+            connection.socket().shutdown();
+        }
+        throw;
+    }
+    if (!answer.wasStreamed) {
+        send(answer, isHead, response);
+    } else if (answer.outcome != Outcome::Done) {
+        // The answer broke off; the caller must not take what it has for the whole.
+        response.setKeepAlive(false);
+        connection.socket().shutdown();
+    }
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/ClaimClient.cpp
@@ -0,0 +1,277 @@
+#include "celeryline/ClaimClient.h"
+
+#include "celeryline/Base64.h"
+#include "celeryline/ByteCoding.h"
+#include "celeryline/ClaimLedger.h"
+#include "celeryline/Error.h"
+
+#include <Poco/Exception.h>
+#include <Poco/JSON/Object.h>
+#include <Poco/JSON/Parser.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <sstream>
+
+#include <xxhash.h>
+
+namespace celeryline {
+
+namespace {
+
+constexpr Millis retryPause { 100 };
+constexpr Millis retryTimeout { 2000 };
+/// Endings above this are dropped: their claims stay begun, which is answered as unknown and never run again.
+constexpr std::size_t maxBacklog = 4096;
+
+std::string stringify(const Poco::JSON::Object& object)
+{
+    std::ostringstream text;
+    object.stringify(text);
+    return text.str();
+}
+
+Poco::JSON::Object commandBody(const char* op, const Claim& claim)
+{
+    Poco::JSON::Object body;
+    body.set("op", op);
+    body.set("service", claim.service);
+    body.set("key", claim.key);
+    body.set("digest", claim.digest);
+    body.set("attempt", claim.attempt);
+    return body;
+}
+
+std::string packAnswer(const CallAnswer& answer)
+{
+    ByteWriter writer;
+    writer.number(answer.fields.size());
+    for (const auto& field : answer.fields) {
+        writer.text(field.first);
+        writer.text(field.second);
+    }
+    writer.text(answer.body);
+    return writer.bytes();
+}
+
+void unpackAnswer(const std::string& bytes, CallAnswer& answer)
+{
+    ByteReader reader(bytes);
+    for (auto left = reader.number(); left > 0; --left) {
+        auto name = reader.text();
+        answer.fields.emplace_back(std::move(name), reader.text());
+    }
+    answer.body = reader.text();
+}
+
+prometheus::Counter& claimCounter(Metrics& metrics, const char* verdict)
+{
+    return metrics.counter("celeryline_claims_total", "Claims of non-repeatable requests, by verdict.",
+        { { "verdict", verdict } });
+}
+
+} // namespace
+
+std::string requestDigest(const std::string& method, const std::string& target, const std::string& body)
+{
+    ByteWriter writer;
+    writer.text(method);
+    writer.text(target);
+    writer.text(body);
+    const auto hash = XXH3_128bits(writer.bytes().data(), writer.bytes().size());
+    std::array<char, 33> text {};
+    std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(hash.high64),
+        static_cast<unsigned long long>(hash.low64));
+    return text.data();
+}
+
+ClaimClient::ClaimClient(std::string instance, std::uint64_t bootEpoch, std::size_t maxAnswerBytes,
+    Store& store, const Clock& clock, Metrics& metrics)
+    : m_instance(std::move(instance))
+    , m_bootEpoch(bootEpoch)
+    , m_maxAnswerBytes(maxAnswerBytes)
+    , m_store(store)
+    , m_clock(clock)
+    , m_granted(claimCounter(metrics, "granted"))
+    , m_replayed(claimCounter(metrics, "replayed"))
+    , m_refused(claimCounter(metrics, "refused"))
+    , m_thread([this] { run(); })
+{
+}
+
+ClaimClient::~ClaimClient()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_changed.notify_all();
+    m_thread.join();
+}
+
+Claim ClaimClient::claim(
+    const std::string& service, const std::string& key, const std::string& digest, Millis deadline)
+{
+    Claim claim;
+    claim.service = service;
+    claim.key = key;
+    claim.digest = digest;
+    claim.attempt = m_instance + "-" + std::to_string(m_bootEpoch) + "-" + std::to_string(++m_lastAttempt);
+    auto body = commandBody("claim", claim);
+    body.set("owner", m_instance);
+    const Command command { CommandKind::Ledger, "claim-" + claim.attempt, stringify(body) };
+    const auto left = deadline - m_clock.now();
+    const auto tooLate = refusal(504, Outcome::NotRun,
+        "the request could not be recorded before its deadline and was not run; send it again");
+    if (left.count <= 0) {
+        claim.answer = tooLate;
+        return claim;
+    }
+    try {
+        claim.answer = answerFor(m_store.submit(command, left), claim);
+    } catch (const Error& e) {
+        claim.answer = e.kind() == ErrorKind::Unavailable
+            ? refusal(503, Outcome::NotRun, std::string("the request can't be recorded now: ") + e.what())
+            : tooLate;
+        if (e.kind() != ErrorKind::Unavailable) {
+            later(endCommand(claim, claim.answer));
+        }
+    }
+    if (claim.verdict == ClaimVerdict::Granted && m_clock.now() >= deadline) {
+        claim.verdict = ClaimVerdict::Refused;
+        claim.answer = tooLate;
+        later(endCommand(claim, claim.answer));
+    }
+    auto& counter = claim.verdict == ClaimVerdict::Granted ? m_granted
+        : claim.verdict == ClaimVerdict::Replay            ? m_replayed
+                                                           : m_refused;
+    counter.Increment();
+    return claim;
+}
+
+CallAnswer ClaimClient::answerFor(const CommandResult& result, Claim& claim)
+{
+    if (!result.accepted) {
+        const int status = result.errorKind == ErrorKind::Conflict ? 422 : 503;
+        return refusal(status, Outcome::NotRun, result.body);
+    }
+    try {
+        const auto body = Poco::JSON::Parser().parse(result.body).extract<Poco::JSON::Object::Ptr>();
+        if (body->getValue<bool>("granted")) {
+            claim.verdict = ClaimVerdict::Granted;
+            return {};
+        }
+        const auto state = body->getValue<std::string>("state");
+        if (state == claimStateName(ClaimState::Begun)) {
+            return refusal(409, Outcome::Unknown,
+                "a request with this Idempotency-Key is in progress or its outcome is not known; ask again "
+                "with the same key");
+        }
+        if (state == claimStateName(ClaimState::NotRun)) {
+            return refusal(503, Outcome::NotRun, "the claim was released; send the request again");
+        }
+        auto answer = refusal(504, Outcome::Unknown,
+            "a request with this Idempotency-Key was sent and its outcome is not known; it is not run again");
+        if (state == claimStateName(ClaimState::Done)) {
+            claim.verdict = ClaimVerdict::Replay;
+            answer = CallAnswer();
+            answer.outcome = Outcome::Done;
+            answer.status = body->getValue<int>("status");
+            const bool isWhole = body->has("answer");
+            if (isWhole) {
+                unpackAnswer(fromBase64(body->getValue<std::string>("answer")), answer);
+            }
+            answer.fields.emplace_back("Celeryline-Replay", isWhole ? "whole" : "status-only");
+        }
+        answer.instance = body->getValue<std::string>("instance");
+        return answer;
+    } catch (const Poco::Exception& e) {
+        // A grant that can't be read is not used; the claim is released by its attempt id.
+        later(endCommand(claim, refusal(503, Outcome::NotRun, "")));
+        return refusal(503, Outcome::NotRun, "the ledger's result can't be read: " + e.displayText());
+    }
+}
+
+Command ClaimClient::endCommand(const Claim& claim, const CallAnswer& answer) const
+{
+    auto body = commandBody("end", claim);
+    const auto state = answer.outcome == Outcome::Done ? ClaimState::Done
+        : answer.outcome == Outcome::NotRun            ? ClaimState::NotRun
+                                                       : ClaimState::Unknown;
+    body.set("state", claimStateName(state));
+    body.set("status", answer.status);
+    body.set("instance", answer.instance);
+    if (state == ClaimState::Done && !answer.wasStreamed) {
+        const auto packed = packAnswer(answer);
+        if (packed.size() <= m_maxAnswerBytes) {
+            body.set("answer", toBase64(packed));
+        }
+    }
+    return { CommandKind::Ledger, "end-" + claim.attempt, stringify(body) };
+}
+
+void ClaimClient::finish(const Claim& claim, const CallAnswer& answer, Millis deadline)
+{
+    auto command = endCommand(claim, answer);
+    const auto left = std::min(deadline - m_clock.now(), retryTimeout);
+    if (left.count <= 0 || !submitEnding(command, left)) {
+        later(std::move(command));
+    }
+}
+
+bool ClaimClient::submitEnding(const Command& command, Millis timeout)
+{
+    try {
+        m_store.submit(command, timeout);
+        return true;
+    } catch (const Error&) {
+        return false;
+    }
+}
+
+void ClaimClient::later(Command command)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_backlog.size() < maxBacklog) {
+            m_backlog.push_back(std::move(command));
+        }
+    }
+    m_changed.notify_all();
+}
+
+void ClaimClient::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_isStopping) {
+        if (m_backlog.empty()) {
+            m_changed.wait(lock);
+            continue;
+        }
+        const auto command = m_backlog.front();
+        lock.unlock();
+        const bool isRecorded = submitEnding(command, retryTimeout);
+        lock.lock();
+        if (isRecorded) {
+            m_backlog.pop_front();
+            m_changed.notify_all();
+        } else if (!m_isStopping) {
+            m_changed.wait_for(lock, retryPause.toChrono(), [this] { return m_isStopping; });
+        }
+    }
+}
+
+void ClaimClient::flush(Millis limit)
+{
+    std::unique_lock lock(m_mutex);
+    m_changed.wait_for(lock, limit.toChrono(), [this] { return m_backlog.empty(); });
+}
+
+std::size_t ClaimClient::backlog() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_backlog.size();
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/test/ScriptedRunner.h
@@ -0,0 +1,175 @@
+/// @file
+/// A runner on a loopback port that misbehaves as told.
+#pragma once
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace celeryline::test {
+
+/// A runner on a loopback port. For each request that it has read in full it calls a script, which answers on
+/// the socket as it likes. Returning false closes the connection.
+class ScriptedRunner {
+public:
+    using Script = std::function<bool(Poco::Net::StreamSocket& socket, const std::string& request)>;
+
+    explicit ScriptedRunner(Script script)
+        : m_script(std::move(script))
+        , m_listener(Poco::Net::SocketAddress("127.0.0.1", 0), 64)
+        , m_address(m_listener.address().toString())
+        , m_acceptor([this] { accept(); })
+    {
+    }
+
+    ~ScriptedRunner()
+    {
+        m_isStopping = true;
+        m_acceptor.join();
+        {
+            const std::lock_guard lock(m_mutex);
+            for (auto& socket : m_sockets) {
+                try {
+                    socket.shutdown();
+                } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): it is closed already.
+                }
+            }
+        }
+        for (auto& thread : m_threads) {
+            thread.join();
+        }
+    }
+
+    const std::string& address() const { return m_address; }
+
+    /// @return whole requests that arrived.
+    std::vector<std::string> requests() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_requests;
+    }
+
+    /// @return whether any byte of a request arrived.
+    bool sawBytes() const { return m_sawBytes; }
+
+    int connections() const { return m_connections; }
+    int mostAtOnce() const { return m_mostAtOnce; }
+
+    static void send(Poco::Net::StreamSocket& socket, const std::string& bytes)
+    {
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    }
+
+    static std::string answer(const std::string& body, const std::string& status = "200 OK")
+    {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+            + body;
+    }
+
+    /// @return the body of a request with Content-Length.
+    static std::string bodyOf(const std::string& request)
+    {
+        return request.substr(request.find("\r\n\r\n") + 4);
+    }
+
+    /// Answers with the request's own body.
+    static bool echo(Poco::Net::StreamSocket& socket, const std::string& request)
+    {
+        send(socket, answer(bodyOf(request)));
+        return true;
+    }
+
+    /// Resets the connection instead of closing it in order.
+    static bool reset(Poco::Net::StreamSocket& socket)
+    {
+        socket.setLinger(true, 0);
+        return false;
+    }
+
+private:
+    void accept()
+    {
+        while (!m_isStopping) {
+            if (m_listener.poll(Poco::Timespan(5000), Poco::Net::Socket::SELECT_READ)) {
+                const std::lock_guard lock(m_mutex);
+                m_sockets.push_back(m_listener.acceptConnection());
+                m_threads.emplace_back([this, socket = m_sockets.back()]() mutable { serve(socket); });
+                ++m_connections;
+            }
+        }
+    }
+
+    void serve(Poco::Net::StreamSocket& socket)
+    {
+        try {
+            std::string request;
+            while (!m_isStopping && readRequest(socket, request)) {
+                const int now = ++m_inProgress;
+                for (int most = m_mostAtOnce; most < now && !m_mostAtOnce.compare_exchange_weak(most, now);) {
+                }
+                const bool goesOn = m_script(socket, request);
+                --m_inProgress;
+                if (!goesOn) {
+                    break;
+                }
+            }
+        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): the peer has closed it.
+        }
+        const std::lock_guard lock(m_mutex);
+        for (auto& kept : m_sockets) {
+            if (kept == socket) {
+                kept = Poco::Net::StreamSocket();
+            }
+        }
+        socket.close();
+    }
+
+    bool readRequest(Poco::Net::StreamSocket& socket, std::string& request)
+    {
+        request.clear();
+        char buffer[4096];
+        for (;;) {
+            const auto headEnd = request.find("\r\n\r\n");
+            if (headEnd != std::string::npos) {
+                const auto field = request.find("Content-Length: ");
+                const std::size_t length
+                    = field == std::string::npos ? 0 : std::stoul(request.substr(field + 16));
+                if (request.size() >= headEnd + 4 + length) {
+                    break;
+                }
+            }
+            const int got = socket.receiveBytes(buffer, sizeof buffer);
+            if (got <= 0) {
+                return false;
+            }
+            m_sawBytes = true;
+            request.append(buffer, static_cast<std::size_t>(got));
+        }
+        const std::lock_guard lock(m_mutex);
+        m_requests.push_back(request);
+        return true;
+    }
+
+    Script m_script;
+    Poco::Net::ServerSocket m_listener;
+    std::string m_address;
+    std::atomic<bool> m_isStopping { false };
+    std::atomic<bool> m_sawBytes { false };
+    std::atomic<int> m_connections { 0 };
+    std::atomic<int> m_inProgress { 0 };
+    std::atomic<int> m_mostAtOnce { 0 };
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_requests;
+    std::vector<Poco::Net::StreamSocket> m_sockets;
+    std::vector<std::thread> m_threads;
+    std::thread m_acceptor;
+};
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/TestClient.h
@@ -0,0 +1,79 @@
+/// @file
+/// A caller that writes its requests byte by byte.
+#pragma once
+
+#include "celeryline/AnswerParser.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <string>
+
+namespace celeryline::test {
+
+/// An answer as a caller sees it.
+struct TestAnswer {
+    int status = 0; ///< 0 if the connection ended before a whole answer.
+    std::string body;
+    HeaderFields fields;
+
+    std::string field(const std::string& name) const
+    {
+        const auto* value = findField(fields, name);
+        return value ? *value : "";
+    }
+};
+
+/// A caller's connection.
+class TestClient {
+public:
+    explicit TestClient(const std::string& address)
+        : m_socket(Poco::Net::SocketAddress(address))
+    {
+        m_socket.setReceiveTimeout(Poco::Timespan(10, 0));
+    }
+
+    /// Sends what it can; the other side may have closed.
+    void send(const std::string& bytes)
+    {
+        try {
+            m_socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): the answer tells why.
+        }
+    }
+
+    bool hasInput() { return m_socket.poll(Poco::Timespan(), Poco::Net::Socket::SELECT_READ); }
+    void shutdownSend() { m_socket.shutdownSend(); }
+
+    TestAnswer receive(bool isHead = false)
+    {
+        AnswerParser parser(isHead);
+        char buffer[4096];
+        while (parser.progress() != AnswerParser::Progress::Complete) {
+            int got = 0;
+            try {
+                got = m_socket.receiveBytes(buffer, sizeof buffer);
+            } catch (const Poco::Exception&) { // NOLINT(bugprone-empty-catch): as if it had been closed.
+            }
+            if (got <= 0 || parser.progress() == AnswerParser::Progress::Broken) {
+                return {};
+            }
+            parser.feed(buffer, static_cast<std::size_t>(got));
+        }
+        auto& answer = parser.answer();
+        return { answer.status, answer.body, answer.fields };
+    }
+
+    TestAnswer call(const std::string& method, const std::string& path, const std::string& body = "",
+        const std::string& fields = "")
+    {
+        send(method + " " + path + " HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size())
+            + "\r\n" + fields + "\r\n" + body);
+        return receive(method == "HEAD");
+    }
+
+private:
+    Poco::Net::StreamSocket m_socket;
+};
+
+} // namespace celeryline::test
