Let the ledger implement the interface of the replicated state

Cause: ClaimLedger and LedgerApply were written in parallel with the same three functions. Conclusion: the replicated state can own the ledger without an adapter.

--- a/include/celeryline/ClaimLedger.h
+++ b/include/celeryline/ClaimLedger.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/Command.h"
 #include "celeryline/CommandResult.h"
+#include "celeryline/LedgerApply.h"
 #include "celeryline/Settings.h"
 
 #include <Poco/JSON/Object.h>
@@ -45,7 +46,7 @@
 /// Command bodies: `{"op":"claim","service","key","digest","attempt","owner"}` and
 /// `{"op":"end","service","key","digest","attempt","state":"notRun|done|unknown","status","instance",
 /// "answer"}`, the answer in Base64.
-class ClaimLedger {
+class ClaimLedger final : public LedgerApply {
 public:
     /// @param settings retention and bounds.
     explicit ClaimLedger(const LedgerSettings& settings);
@@ -57,14 +58,14 @@
     /// @return for claims `{"granted":bool, "state", "status", "instance", "answer"}`. Not accepted are:
     /// Conflict for another digest or attempt, LimitExceeded for a full ledger, NotFound for the ending of an
     /// unknown claim.
-    CommandResult apply(std::uint64_t index, Millis entryTime, const Command& command);
+    CommandResult apply(std::uint64_t index, Millis entryTime, const Command& command) override;
 
     /// @return the whole state, serialised.
-    std::string takeSnapshot() const;
+    std::string takeSnapshot() const override;
 
     /// Replaces the whole state.
     /// @throws Error of kind Corrupt, leaving the state unchanged, if the bytes are not a whole snapshot.
-    void restoreSnapshot(const std::string& bytes);
+    void restoreSnapshot(const std::string& bytes) override;
 
     /// @return the number of kept outcomes.
     std::size_t size() const { return m_state.entries.size(); }
