Test the request path, the pool and the claim ledger under faults

A scripted runner on loopback answers late, twice, truncated, never, or resets at each byte; a fake store fails, delays, or times out after the commit.

--- a/include/celeryline/ClaimLedger.h
+++ b/include/celeryline/ClaimLedger.h
@@ -49,6 +49,8 @@
 public:
     /// @param settings retention and bounds.
     explicit ClaimLedger(const LedgerSettings& settings);
+    ClaimLedger(ClaimLedger&&) = default;
+    ClaimLedger& operator=(ClaimLedger&&) = default;
 
     /// Applies a command of kind Ledger.
     /// @param index log index of the entry.
--- a/src/CallReader.cpp
+++ b/src/CallReader.cpp
@@ -44,7 +44,7 @@
     if (i == request.end()) {
         return std::nullopt;
     }
-    const auto value = i->second;
+    auto value = i->second;
     if (++i != request.end() && Poco::icompare(i->first, field) == 0) {
         throw CallRefused(400, field + " is given more than once; send it once");
     }
--- /dev/null
+++ b/test/CallHandlerTest.cpp
@@ -0,0 +1,268 @@
+#include "CallKit.h"
+#include "ScriptedRunner.h"
+#include "TestClient.h"
+
+#include <catch2/catch.hpp>
+
+#include <random>
+#include <set>
+
+using namespace celeryline;
+using namespace celeryline::test;
+using Poco::Net::StreamSocket;
+
+namespace {
+
+void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
+
+bool breakOff(StreamSocket& socket, const std::string&) { return ScriptedRunner::reset(socket); }
+
+bool staySilent(StreamSocket&, const std::string&)
+{
+    pause(400);
+    return false;
+}
+
+std::string closedAddress()
+{
+    const Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return closed.address().toString();
+}
+
+} // namespace
+
+TEST_CASE("A repeatable request is tried on another runner, others are not", "[calls]")
+{
+    const bool isSilent = GENERATE(false, true);
+    ScriptedRunner bad(isSilent ? staySilent : breakOff);
+    ScriptedRunner good(ScriptedRunner::echo);
+    FakeFleet fleet;
+    fleet.addRunner("bad", bad.address(), 1);
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    const auto once = client.call("POST", "/call/intake/x", "once", "Celeryline-Deadline-Ms: 250\r\n");
+    CHECK(once.status == (isSilent ? 504 : 502));
+    CHECK(once.field("Celeryline-Outcome") == "unknown");
+    // Under another name the bad runner is not avoided yet.
+    fleet.changeUpstreams([](UpstreamSnapshot& view) { view.upstreams[0].name = "bad again"; });
+    fleet.addRunner("good", good.address());
+    for (int i = 0; i < 4; ++i) {
+        const auto answer = client.call(i % 2 ? "GET" : "POST", "/call/intake/x", "again",
+            i % 2 ? "" : "Celeryline-Repeatable: true\r\n");
+        CHECK(answer.status == 200);
+        CHECK(answer.field("Celeryline-Instance") == "good");
+    }
+    CHECK(good.requests().size() == 4);
+}
+
+TEST_CASE("A refused connection sends even a non-repeatable request to another runner", "[calls]")
+{
+    ScriptedRunner good(ScriptedRunner::echo);
+    FakeFleet fleet;
+    fleet.addRunner("bad", closedAddress());
+    fleet.addRunner("good", good.address());
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    for (int i = 0; i < 6; ++i) {
+        CHECK(client.call("POST", "/call/intake/x", "x").status == 200);
+    }
+    CHECK(good.requests().size() == 6);
+}
+
+TEST_CASE("Retries stay within their budget", "[calls]")
+{
+    ScriptedRunner first(breakOff);
+    ScriptedRunner second(breakOff);
+    FakeFleet fleet;
+    fleet.addRunner("r1", first.address());
+    fleet.addRunner("r2", second.address());
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    constexpr std::size_t requests = 100;
+    for (std::size_t i = 0; i < requests; ++i) {
+        CHECK(client.call("GET", "/call/intake/x").field("Celeryline-Outcome") == "unknown");
+    }
+    const auto tries = first.requests().size() + second.requests().size();
+    CHECK(tries <= requests + requests / 10 + 10);
+    CHECK(tries > requests);
+}
+
+TEST_CASE("A connection that goes silent costs one try while new ones work", "[calls]")
+{
+    // The first connection of each runner dies silently after its second request.
+    std::atomic<int> served { 0 };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string& request) {
+        if (++served == 3) {
+            pause(400);
+            return false;
+        }
+        return ScriptedRunner::echo(socket, request);
+    });
+    FakeFleet fleet;
+    fleet.addRunner("r1", runner.address());
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < 10; ++i) {
+        CHECK(client.call("PUT", "/call/intake/x", std::to_string(i)).body == std::to_string(i));
+    }
+    CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(400));
+}
+
+TEST_CASE("A truncated large answer cuts the caller's connection", "[calls]")
+{
+    const std::string body(300000, 'x');
+    std::atomic<bool> isCut { false };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        ScriptedRunner::send(
+            socket, ScriptedRunner::answer(body).substr(0, isCut ? 200000 : std::string::npos));
+        return !isCut;
+    });
+    FakeFleet fleet;
+    fleet.addRunner("r1", runner.address());
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    CHECK(client.call("GET", "/call/intake/x").body == body);
+    isCut = true;
+    CHECK(client.call("GET", "/call/intake/x").status == 0);
+}
+
+TEST_CASE("Answers without a body pass through", "[calls]")
+{
+    ScriptedRunner runner([](StreamSocket& socket, const std::string& request) {
+        const bool isHead = request.compare(0, 4, "HEAD") == 0;
+        ScriptedRunner::send(socket,
+            isHead ? "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n" : "HTTP/1.1 204 No Content\r\n\r\n");
+        return true;
+    });
+    FakeFleet fleet;
+    fleet.addRunner("r1", runner.address());
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    TestClient client(instance.address());
+    CHECK(client.call("HEAD", "/call/intake/x").field("Content-Length") == "7");
+    CHECK(client.call("GET", "/call/intake/x").status == 204);
+    CHECK(client.call("HEAD", "/call/intake/x").status == 200);
+}
+
+TEST_CASE("Another data centre serves what the local one can't, over one hop", "[calls]")
+{
+    ScriptedRunner runner(ScriptedRunner::echo);
+    FakeStore store;
+    Instance remote;
+    remote.name = "r9";
+    remote.dataCentre = "dc2";
+    remote.labels = { { "service", "intake" } };
+    FakeFleet farFleet;
+    farFleet.changeUpstreams([](UpstreamSnapshot& view) { view.liveInstances = { "far" }; });
+    farFleet.addRunner("r9", runner.address());
+    auto farSettings = callSettings("far");
+    farSettings.dataCentre = "dc2";
+    CallInstance far(farFleet, store, farSettings);
+    FakeFleet fleet;
+    fleet.addInstance(remote);
+    auto settings = callSettings();
+    settings.peers = { { "gone", "dc2", closedAddress(), "" }, { "far", "dc2", far.address(), "" } };
+    CallInstance instance(fleet, store, settings);
+    TestClient client(instance.address());
+    for (const std::string fields : { "", "Idempotency-Key: k1\r\n", "Idempotency-Key: k1\r\n" }) {
+        const auto answer = client.call("POST", "/call/intake/x", "b", fields);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "b");
+        CHECK(answer.field("Celeryline-Instance") == "r9");
+    }
+    CHECK(runner.requests().size() == 2);
+    // A forwarded request is not forwarded again.
+    CHECK(client.call("POST", "/call/intake/x", "b", "Celeryline-Hops: 1\r\n").status == 503);
+    farFleet.changeUpstreams([](UpstreamSnapshot& view) { view.upstreams.clear(); });
+    const auto refused = client.call("POST", "/call/intake/x", "b", "Idempotency-Key: k2\r\n");
+    CHECK(refused.status == 503);
+    CHECK(refused.field("Celeryline-Outcome") == "not-run");
+}
+
+TEST_CASE("Under random faults answers are never swapped and not-run means that nothing ran", "[calls]")
+{
+    std::mutex mutex;
+    std::mt19937 random(7);
+    const auto script = [&](StreamSocket& socket, const std::string& request) {
+        unsigned fault = 0;
+        {
+            const std::lock_guard lock(mutex);
+            fault = random() % 24;
+        }
+        const auto answer = ScriptedRunner::answer(ScriptedRunner::bodyOf(request));
+        switch (fault) {
+        case 0:
+            return ScriptedRunner::reset(socket);
+        case 1:
+            ScriptedRunner::send(socket, answer.substr(0, answer.size() / 2));
+            return ScriptedRunner::reset(socket);
+        case 2:
+            pause(200); // Late: beyond the try timeout.
+            break;
+        case 3:
+            ScriptedRunner::send(socket, answer + answer);
+            return true;
+        case 4:
+            ScriptedRunner::send(socket, answer.substr(0, answer.size() - 1));
+            return false;
+        case 5:
+            return false;
+        default:
+            break;
+        }
+        ScriptedRunner::send(socket, answer);
+        return fault != 6;
+    };
+    ScriptedRunner one(script);
+    ScriptedRunner two(script);
+    FakeFleet fleet;
+    fleet.addRunner("r1", one.address(), 4);
+    fleet.addRunner("r2", two.address(), 4);
+    FakeStore store;
+    CallInstance instance(fleet, store);
+    std::set<std::string> notRun;
+    std::atomic<int> done { 0 };
+    std::vector<std::thread> callers;
+    for (int c = 0; c < 12; ++c) {
+        callers.emplace_back([&, c] {
+            for (int i = 0; i < 40; ++i) {
+                const auto body = "<" + std::to_string(c) + "." + std::to_string(i) + ">";
+                TestClient client(instance.address());
+                std::string fields = "Celeryline-Deadline-Ms: 250\r\n";
+                fields += i % 4 == 0 ? "Idempotency-Key: " + body + "\r\n" : "";
+                const auto answer = client.call(i % 2 ? "PUT" : "POST", "/call/intake/x", body, fields);
+                const auto outcome = answer.field("Celeryline-Outcome");
+                const std::lock_guard lock(mutex);
+                if (outcome == "done") {
+                    ++done;
+                    CHECK(answer.body == body);
+                } else if (outcome == "not-run") {
+                    notRun.insert(body);
+                } else {
+                    CHECK(outcome == "unknown");
+                }
+            }
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(done > 300);
+    std::map<std::string, int> runs;
+    for (const auto* runner : { &one, &two }) {
+        CHECK(runner->mostAtOnce() <= 64);
+        for (const auto& request : runner->requests()) {
+            const auto body = ScriptedRunner::bodyOf(request);
+            CHECK(notRun.count(body) == 0);
+            if (request.find("Idempotency-Key") != std::string::npos || request.compare(0, 4, "POST") == 0) {
+                CHECK(++runs[body] == 1);
+            }
+        }
+    }
+}
--- a/test/CallKit.h
+++ b/test/CallKit.h
@@ -31,7 +31,8 @@
         CommandResult result;
         {
             const std::lock_guard lock(m_mutex);
-            result = m_ledger.apply(++m_index, Millis { static_cast<std::int64_t>(m_index) }, command);
+            ++m_index;
+            result = m_ledger.apply(m_index, Millis { static_cast<std::int64_t>(m_index) }, command);
         }
         runHook(command, true);
         return result;
@@ -148,13 +149,13 @@
     s.limits.maxConnections = 64;
     s.routing.tryTimeout = Millis { 150 };
     s.routing.connectTimeout = Millis { 150 };
-    s.leases.peerTimeout = Millis { 200 };
+    s.leases.peerTimeout = Millis { 120 };
     return s;
 }
 
 /// The request path of one entry instance behind its HTTP listener.
 struct CallInstance {
-    CallInstance(FakeFleet& fleet, Store& store, const Settings& s = callSettings())
+    CallInstance(FakeFleet& fleet, Store& store, const Settings& s = callSettings(), bool waits = true)
         : settings(s)
         , pool(s.routing, static_cast<std::size_t>(s.limits.maxAnswerBytes), clock)
         , router(s, 1, clock, fleet, fleet, metrics, {})
@@ -167,7 +168,8 @@
         server.route("/call/", endpoint);
         server.start();
         // Credits may be used once every instance has noticed that this one is live.
-        std::this_thread::sleep_for((s.leases.peerTimeout + Millis { 60 }).toChrono());
+        std::this_thread::sleep_for(
+            waits ? (s.leases.peerTimeout + Millis { 40 }).toChrono() : std::chrono::milliseconds());
     }
 
     ~CallInstance() { server.stop(Millis { 2000 }); }
--- /dev/null
+++ b/test/ClaimFlowTest.cpp
@@ -0,0 +1,243 @@
+#include "CallKit.h"
+#include "ScriptedRunner.h"
+#include "TestClient.h"
+
+#include <Poco/Net/NetException.h>
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using namespace celeryline::test;
+using Poco::Net::StreamSocket;
+
+namespace {
+
+void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
+
+/// Ends a request's thread as the death of its process would: the caller gets no answer.
+struct Killed : Poco::Net::NetException {
+    Killed()
+        : NetException("killed")
+    {
+    }
+};
+
+/// Two entry instances that share one store and one runner.
+struct Pair {
+    explicit Pair(ScriptedRunner::Script script = ScriptedRunner::echo)
+        : runner(std::move(script))
+    {
+        // Two separate processes in the eyes of the credits; each sees itself alone, as slots don't matter
+        // here.
+        otherFleet.changeUpstreams([](UpstreamSnapshot& view) { view.liveInstances = { "b" }; });
+        fleet.addRunner("r1", runner.address());
+        otherFleet.addRunner("r1", runner.address());
+    }
+
+    ~Pair()
+    {
+        std::thread stopper([this] { a.server.stop(Millis { 2000 }); });
+        b.server.stop(Millis { 2000 });
+        stopper.join();
+    }
+
+    TestAnswer call(const CallInstance& instance, const std::string& body = "body", int deadline = 1000,
+        const std::string& key = "k1")
+    {
+        TestClient client(instance.address());
+        return client.call("POST", "/call/intake/bins", body,
+            "Idempotency-Key: " + key + "\r\nCeleryline-Deadline-Ms: " + std::to_string(deadline) + "\r\n");
+    }
+
+    TestAnswer callUntilDone(const CallInstance& instance)
+    {
+        TestAnswer answer;
+        for (int i = 0; i < 50 && answer.status != 200; ++i) {
+            answer = call(instance);
+            pause(20);
+        }
+        return answer;
+    }
+
+    ScriptedRunner runner;
+    FakeFleet fleet;
+    FakeFleet otherFleet;
+    FakeStore store;
+    CallInstance a { fleet, store, callSettings(), false };
+    CallInstance b { otherFleet, store, callSettings("b") };
+};
+
+bool isCommand(const Command& command, const std::string& start)
+{
+    return command.id.compare(0, start.size(), start) == 0;
+}
+
+} // namespace
+
+TEST_CASE("A resend with the same key gets the first answer and isn't run again", "[calls][claims]")
+{
+    Pair pair;
+    CHECK(pair.call(pair.a).body == "body");
+    const auto replay = pair.call(pair.b);
+    CHECK(replay.status == 200);
+    CHECK(replay.body == "body");
+    CHECK(replay.field("Celeryline-Outcome") == "done");
+    CHECK(replay.field("Celeryline-Replay") == "whole");
+    CHECK(replay.field("Celeryline-Instance") == "r1");
+    CHECK(pair.call(pair.b, "another body").status == 422);
+    CHECK(pair.call(pair.a, "another body").field("Celeryline-Outcome") == "not-run");
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("A key runs at most once if the first instance dies at any step", "[calls][claims]")
+{
+    struct Step {
+        std::string command;
+        bool afterApplied;
+        std::size_t runsBefore; ///< Requests that the runner has seen when the instance dies.
+        int nextStatus; ///< What the resend to the other instance gives.
+    };
+    Pair pair;
+    std::size_t runs = 0;
+    for (const auto& step : { Step { "claim-a", false, 0, 200 }, Step { "claim-a", true, 0, 409 },
+             Step { "end-a", false, 1, 409 }, Step { "end-a", true, 1, 200 } }) {
+        const auto key = step.command + (step.afterApplied ? "-after" : "-before");
+        INFO(key);
+        pair.store.setHook([&](const Command& command, bool isApplied) {
+            if (isCommand(command, step.command) && isApplied == step.afterApplied) {
+                throw Killed();
+            }
+        });
+        CHECK(pair.call(pair.a, "body", 1000, key).status == 0);
+        CHECK(pair.runner.requests().size() - runs == step.runsBefore);
+        const auto resent = pair.call(pair.b, "body", 1000, key);
+        CHECK(resent.status == step.nextStatus);
+        CHECK(resent.field("Celeryline-Outcome") == (step.nextStatus == 200 ? "done" : "unknown"));
+        const auto runsOfKey = pair.runner.requests().size() - runs;
+        CHECK(runsOfKey <= 1);
+        CHECK((resent.status != 200 || runsOfKey == 1));
+        runs += runsOfKey;
+    }
+}
+
+TEST_CASE(
+    "While a key is in progress a resend is told unknown; afterwards it gets the answer", "[calls][claims]")
+{
+    Pair pair([](StreamSocket& socket, const std::string& request) {
+        pause(150);
+        return ScriptedRunner::echo(socket, request);
+    });
+    TestAnswer first;
+    std::thread caller([&] { first = pair.call(pair.a); });
+    pause(60);
+    CHECK(pair.call(pair.b).status == 409);
+    caller.join();
+    CHECK(first.body == "body");
+    CHECK(pair.call(pair.b).body == "body");
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("A request whose answer is lost is unknown and never sent again", "[calls][claims]")
+{
+    const bool isSilent = GENERATE(false, true);
+    Pair pair([&](StreamSocket& socket, const std::string&) {
+        pause(isSilent ? 400 : 0);
+        return ScriptedRunner::reset(socket);
+    });
+    const auto answer = pair.call(pair.a, "body", 200);
+    CHECK(answer.status == (isSilent ? 504 : 502));
+    CHECK(answer.field("Celeryline-Outcome") == "unknown");
+    // A try that reached its deadline is recorded in the background.
+    pause(100);
+    CHECK(pair.call(pair.b).status == 504);
+    CHECK(pair.call(pair.a).field("Celeryline-Outcome") == "unknown");
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("Without a ledger a keyed request is not run, and repeatable ones still are", "[calls][claims]")
+{
+    Pair pair;
+    pair.store.setHook([](const Command&, bool isApplied) {
+        if (!isApplied) {
+            throw Error(ErrorKind::Unavailable, "no leader", "wait");
+        }
+    });
+    const auto answer = pair.call(pair.a);
+    CHECK(answer.status == 503);
+    CHECK(answer.field("Celeryline-Outcome") == "not-run");
+    CHECK(answer.field("Retry-After") == "1");
+    CHECK_FALSE(pair.runner.sawBytes());
+    TestClient client(pair.a.address());
+    CHECK(client.call("PUT", "/call/intake/x", "b").status == 200);
+}
+
+TEST_CASE("A claim whose grant isn't known in time is never sent, and is released", "[calls][claims]")
+{
+    const bool isThrown = GENERATE(false, true);
+    Pair pair;
+    std::atomic<int> releasesToFail { 2 };
+    pair.store.setHook([&](const Command& command, bool isApplied) {
+        if (isCommand(command, "claim-a-1-1") && command.id.size() == 11 && isApplied) {
+            pause(isThrown ? 0 : 150);
+            if (isThrown) {
+                throw Error(ErrorKind::TimedOut, "no result in time", "send it again");
+            }
+        }
+        if (isCommand(command, "end-a") && !isApplied && releasesToFail-- > 0) {
+            throw Error(ErrorKind::TimedOut, "no result in time", "send it again");
+        }
+    });
+    const auto answer = pair.call(pair.a, "body", 100);
+    CHECK(answer.status == 504);
+    CHECK(answer.field("Celeryline-Outcome") == "not-run");
+    pause(50);
+    CHECK_FALSE(pair.runner.sawBytes());
+    CHECK(pair.callUntilDone(pair.b).body == "body");
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("An ending that can't be recorded at once is recorded later", "[calls][claims]")
+{
+    Pair pair;
+    std::atomic<int> failures { 3 };
+    pair.store.setHook([&](const Command& command, bool isApplied) {
+        if (isCommand(command, "end-") && !isApplied && failures-- > 0) {
+            throw Error(ErrorKind::Unavailable, "no leader", "wait");
+        }
+    });
+    CHECK(pair.call(pair.a).status == 200);
+    CHECK(pair.call(pair.b).status == 409);
+    CHECK(pair.callUntilDone(pair.b).body == "body");
+    CHECK(pair.a.claims.backlog() == 0);
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("A keyed request that no runner takes is released and runs when sent again", "[calls][claims]")
+{
+    Pair pair;
+    pair.fleet.changeUpstreams([](UpstreamSnapshot& view) { view.upstreams[0].draining = true; });
+    CHECK(pair.call(pair.a).status == 503);
+    CHECK(pair.call(pair.b).status == 200);
+    CHECK(pair.runner.requests().size() == 1);
+}
+
+TEST_CASE("Many callers with one key at two instances cause one run", "[calls][claims]")
+{
+    Pair pair;
+    std::vector<std::thread> callers;
+    std::atomic<int> done { 0 };
+    for (int i = 0; i < 12; ++i) {
+        callers.emplace_back([&, i] {
+            const auto answer = pair.call(i % 2 ? pair.a : pair.b);
+            done += answer.status == 200 && answer.body == "body";
+            if (answer.status != 200) {
+                CHECK(answer.field("Celeryline-Outcome") == "unknown");
+            }
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(done >= 1);
+    CHECK(pair.runner.requests().size() == 1);
+}
--- /dev/null
+++ b/test/UpstreamPoolTest.cpp
@@ -0,0 +1,238 @@
+#include "celeryline/UpstreamPool.h"
+
+#include "ScriptedRunner.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using namespace celeryline::test;
+using Poco::Net::StreamSocket;
+
+namespace {
+
+void pause(int millis) { std::this_thread::sleep_for(std::chrono::milliseconds(millis)); }
+
+RoutingSettings routing()
+{
+    RoutingSettings s;
+    s.connectTimeout = Millis { 200 };
+    s.idleConnectionLife = Millis { 200 };
+    return s;
+}
+
+struct PoolKit {
+    SystemClock clock;
+    UpstreamPool pool { routing(), 1000, clock };
+
+    ExchangeResult send(const std::string& address, const std::string& body, Millis limit = { 300 },
+        std::uint32_t maxConnections = 64, AnswerSink* sink = nullptr)
+    {
+        Exchange exchange;
+        exchange.address = address;
+        exchange.requestId = body.substr(0, 20);
+        exchange.head = "POST /x HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        exchange.body = &body;
+        exchange.deadline = clock.now() + limit;
+        exchange.maxConnections = maxConnections;
+        exchange.sink = sink;
+        return pool.run(exchange);
+    }
+};
+
+struct CollectingSink final : AnswerSink {
+    void begin(const RunnerAnswer&, std::int64_t announced) override { length = announced; }
+    void write(const char* data, std::size_t size) override { body.append(data, size); }
+    std::int64_t length = 0;
+    std::string body;
+};
+
+} // namespace
+
+TEST_CASE("A kept connection that the runner closed is replaced without a failure", "[calls][pool]")
+{
+    ScriptedRunner runner([](StreamSocket& socket, const std::string& request) {
+        ScriptedRunner::echo(socket, request);
+        return false;
+    });
+    PoolKit kit;
+    for (int i = 0; i < 5; ++i) {
+        const auto result = kit.send(runner.address(), std::to_string(i));
+        CHECK(result.end == ExchangeEnd::Answered);
+        CHECK(result.answer.body == std::to_string(i));
+        pause(20);
+    }
+    CHECK(runner.requests().size() == 5);
+}
+
+TEST_CASE("Late, duplicated and extra bytes never become another request's answer", "[calls][pool]")
+{
+    std::atomic<int> count { 0 };
+    // Answers in full, then sends what could be taken for the next answer: at once or after a pause.
+    const std::string stray = ScriptedRunner::answer("stray");
+    const int delay = GENERATE(0, 30);
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string& request) {
+        const auto answer = ScriptedRunner::answer(ScriptedRunner::bodyOf(request));
+        ++count;
+        if (delay == 0) {
+            ScriptedRunner::send(socket, answer + stray);
+        } else {
+            ScriptedRunner::send(socket, answer);
+            pause(delay);
+            ScriptedRunner::send(socket, stray);
+        }
+        return true;
+    });
+    PoolKit kit;
+    for (int i = 0; i < 5; ++i) {
+        const auto result = kit.send(runner.address(), "own " + std::to_string(i));
+        REQUIRE(result.end == ExchangeEnd::Answered);
+        CHECK(result.answer.body == "own " + std::to_string(i));
+        pause(delay * 2);
+    }
+    CHECK(count == 5);
+}
+
+TEST_CASE("An answer that arrives after the timeout is dropped with its connection", "[calls][pool]")
+{
+    std::atomic<bool> isSlow { true };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string& request) {
+        pause(isSlow.exchange(false) ? 150 : 0);
+        return ScriptedRunner::echo(socket, request);
+    });
+    PoolKit kit;
+    const auto late = kit.send(runner.address(), "first", Millis { 60 });
+    CHECK(late.end == ExchangeEnd::Unknown);
+    CHECK(late.timedOut);
+    pause(150);
+    CHECK(kit.send(runner.address(), "second").answer.body == "second");
+    CHECK(runner.connections() == 2);
+}
+
+TEST_CASE("An answer for another request is not passed on", "[calls][pool]")
+{
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        ScriptedRunner::send(
+            socket, "HTTP/1.1 200 OK\r\nCeleryline-Request: other\r\nContent-Length: 1\r\n\r\nx");
+        return true;
+    });
+    PoolKit kit;
+    CHECK(kit.send(runner.address(), "mine").end == ExchangeEnd::Unknown);
+}
+
+TEST_CASE("Truncated and contradictory answers are never whole", "[calls][pool]")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const std::string broken = GENERATE_COPY(head + "Content-Length: 10\r\n\r\nabc",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nabc",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n0\r\n\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\nx\r\n", head + "\r\nuntil the end",
+        head + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", head,
+        std::string("HTTP/1.1 2"), std::string("nonsense\r\n\r\n"), std::string());
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        ScriptedRunner::send(socket, broken);
+        return false;
+    });
+    PoolKit kit;
+    const auto result = kit.send(runner.address(), "x");
+    CHECK(result.end == ExchangeEnd::Unknown);
+    CHECK_FALSE(result.fault.empty());
+    CHECK(kit.pool.openConnections(runner.address()) == 0);
+}
+
+TEST_CASE("A reset at any byte of the answer is unknown, never whole", "[calls][pool]")
+{
+    const std::string answer = ScriptedRunner::answer("body");
+    std::atomic<std::size_t> cut { 0 };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        ScriptedRunner::send(socket, answer.substr(0, cut));
+        pause(2);
+        return ScriptedRunner::reset(socket);
+    });
+    PoolKit kit;
+    for (std::size_t i = 0; i < answer.size(); ++i) {
+        cut = i;
+        CHECK(kit.send(runner.address(), "x").end == ExchangeEnd::Unknown);
+    }
+}
+
+TEST_CASE("A refused connection is certainly not sent", "[calls][pool]")
+{
+    std::string address;
+    {
+        Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+        address = closed.address().toString();
+    }
+    PoolKit kit;
+    CHECK(kit.send(address, "x").end == ExchangeEnd::NotSent);
+    CHECK(kit.pool.openConnections(address) == 0);
+}
+
+TEST_CASE("After a silent failure the older idle connections are dropped", "[calls][pool]")
+{
+    std::atomic<bool> isSilent { false };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string& request) {
+        pause(isSilent ? 200 : 30);
+        return ScriptedRunner::echo(socket, request);
+    });
+    PoolKit kit;
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 4; ++i) {
+        callers.emplace_back([&] { kit.send(runner.address(), "x"); });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(kit.pool.openConnections(runner.address()) == 4);
+    isSilent = true;
+    CHECK(kit.send(runner.address(), "x", Millis { 60 }).timedOut);
+    CHECK(kit.pool.openConnections(runner.address()) == 0);
+}
+
+TEST_CASE("Connections are bounded and idle ones end", "[calls][pool]")
+{
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string& request) {
+        pause(60);
+        return ScriptedRunner::echo(socket, request);
+    });
+    PoolKit kit;
+    std::atomic<int> refused { 0 };
+    std::vector<std::thread> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back([&] {
+            refused += kit.send(runner.address(), "x", Millis { 500 }, 2).end == ExchangeEnd::NotSent;
+        });
+    }
+    for (auto& caller : callers) {
+        caller.join();
+    }
+    CHECK(refused == 4);
+    CHECK(runner.connections() == 2);
+    CHECK(kit.pool.openConnections(runner.address()) == 2);
+    pause(250);
+    kit.pool.closeIdle();
+    CHECK(kit.pool.openConnections(runner.address()) == 0);
+}
+
+TEST_CASE("A large answer is streamed, and its truncation is noticed", "[calls][pool]")
+{
+    const std::string body(5000, 'x');
+    std::atomic<bool> isCut { false };
+    ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        ScriptedRunner::send(
+            socket, ScriptedRunner::answer(body).substr(0, isCut ? 3000 : std::string::npos));
+        return !isCut;
+    });
+    PoolKit kit;
+    CollectingSink sink;
+    const auto whole = kit.send(runner.address(), "x", Millis { 500 }, 64, &sink);
+    CHECK(whole.end == ExchangeEnd::Answered);
+    CHECK(whole.wasStreamed);
+    CHECK(sink.body == body);
+    isCut = true;
+    CollectingSink other;
+    const auto cut = kit.send(runner.address(), "x", Millis { 500 }, 64, &other);
+    CHECK(cut.end == ExchangeEnd::Unknown);
+    CHECK(cut.wasStreamed);
+}
