Add the operators' HTTP API and command line

Cause: operators had no way to change or read the fleet. Conclusion: every fleet operation can be done and explained from the command line.

--- a/include/celeryline/FleetCommand.h
+++ b/include/celeryline/FleetCommand.h
@@ -11,6 +11,8 @@
 
 namespace celeryline {
 
+class JsonFields;
+
 /// What a fleet command does.
 enum class FleetOperation : std::uint8_t {
     Apply,
@@ -108,6 +110,11 @@
 /// Reads the list of objects that an operator applies.
 /// @param fields has the field "objects": a list of objects with "kind".
 /// @param[out] command receives services, pools and quotas.
-void readAppliedObjects(class JsonFields& fields, FleetCommand& command);
+void readAppliedObjects(JsonFields& fields, FleetCommand& command);
+
+/// Reads the list of references that an operator deletes.
+/// @param fields has the field "objects": a list of objects with "kind" and "name".
+/// @param[out] command receives the references.
+void readDeletedObjects(JsonFields& fields, FleetCommand& command);
 
 } // namespace celeryline
--- /dev/null
+++ b/src/CliClient.cpp
@@ -0,0 +1,174 @@
+#include "celeryline/CliClient.h"
+
+#include "celeryline/CommandLine.h"
+#include "celeryline/JsonFields.h"
+#include "celeryline/OperatorCommands.h"
+#include "celeryline/RoleGuard.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/StreamCopier.h>
+#include <Poco/URI.h>
+
+#include <array>
+
+namespace celeryline {
+
+namespace po = boost::program_options;
+using Poco::JSON::Object;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+namespace {
+
+constexpr std::array<ErrorKind, 10> errorKinds { ErrorKind::InvalidSettings, ErrorKind::InvalidInput,
+    ErrorKind::NotFound, ErrorKind::Conflict, ErrorKind::Unavailable, ErrorKind::TimedOut,
+    ErrorKind::LimitExceeded, ErrorKind::Refused, ErrorKind::Storage, ErrorKind::Corrupt };
+
+/// @return the error that a server's response stands for.
+Error errorOf(const std::string& body, const HTTPResponse& response)
+{
+    ErrorKind kind = response.getStatus() >= 500 ? ErrorKind::Unavailable : ErrorKind::InvalidInput;
+    std::string message = std::to_string(response.getStatus()) + " " + response.getReason();
+    try {
+        auto fields = parseJsonFields(body);
+        auto name = fields.text("error");
+        for (auto candidate : errorKinds) {
+            kind = name == errorKindName(candidate) ? candidate : kind;
+        }
+        message = fields.text("message", message);
+    } catch (const Error&) {
+        message += ", without a JSON body";
+    }
+    // The server's message ends with the remedy.
+    auto split = message.rfind("; ");
+    return split == std::string::npos ? Error(kind, message, "check the address of the server")
+                                      : Error(kind, message.substr(0, split), message.substr(split + 2));
+}
+
+/// @return the response's body; throws Poco::Exception if the server can't be reached.
+std::string exchange(const std::string& server, HTTPRequest& request, const std::string& body, Millis timeout,
+    HTTPResponse& response)
+{
+    Poco::Net::HTTPClientSession session { Poco::Net::SocketAddress(server) };
+    session.setTimeout(Poco::Timespan(2, 0), Poco::Timespan(5, 0), Poco::Timespan(timeout.count * 1000));
+    session.sendRequest(request) << body;
+    std::string answer;
+    Poco::StreamCopier::copyToString(session.receiveResponse(response), answer);
+    return answer;
+}
+
+} // namespace
+
+CliClient::CliClient(std::vector<std::string> servers, std::string token, std::string commandId)
+    : m_servers(std::move(servers))
+    , m_token(std::move(token))
+    , m_commandId(std::move(commandId))
+{
+}
+
+Object::Ptr CliClient::sendToAny(
+    const std::string& method, const std::string& path, const std::string& body, Millis timeout)
+{
+    std::string reasons;
+    bool isUncertain = false;
+    for (const auto& server : m_servers) {
+        HTTPRequest request(method, path, HTTPRequest::HTTP_1_1);
+        request.setContentType("application/json");
+        request.setContentLength(static_cast<std::streamsize>(body.size()));
+        if (!m_token.empty()) {
+            request.set("Authorization", "Bearer " + m_token);
+        }
+        HTTPResponse response;
+        try {
+            auto answer = exchange(server, request, body, timeout, response);
+            if (response.getStatus() < 300) {
+                return parseJsonObject(answer, "the response");
+            }
+            auto error = errorOf(answer, response);
+            if (error.kind() != ErrorKind::Unavailable) {
+                throw Error(error);
+            }
+            reasons += (reasons.empty() ? "" : ", ") + server + " (" + error.what() + ")";
+        } catch (const Poco::TimeoutException&) {
+            isUncertain = true;
+            reasons += (reasons.empty() ? "" : ", ") + server + " (no response in time)";
+        } catch (const Poco::Exception& e) {
+            reasons += (reasons.empty() ? "" : ", ") + server + " (" + e.displayText() + ")";
+        }
+    }
+    throw Error(isUncertain ? ErrorKind::TimedOut : ErrorKind::Unavailable,
+        "no entry instance answered: " + reasons, "name a live one with --server IP:PORT or try again later");
+}
+
+Object::Ptr CliClient::get(const std::string& path, Millis timeout)
+{
+    return sendToAny(HTTPRequest::HTTP_GET, path, "", timeout);
+}
+
+Object::Ptr CliClient::change(const std::string& method, const std::string& path, Object::Ptr body)
+{
+    const std::string id = m_commandId.empty() ? newCommandId() : m_commandId;
+    std::string target = path;
+    std::string text;
+    if (method == HTTPRequest::HTTP_POST) {
+        body->set("commandId", id);
+        text = toText(body);
+    } else {
+        target += "?commandId=" + escapedSegment(id);
+    }
+    try {
+        return sendToAny(method, target, text, { 15000 });
+    } catch (const Error& e) {
+        if (e.kind() != ErrorKind::TimedOut && e.kind() != ErrorKind::Unavailable) {
+            throw;
+        }
+        throw Error(e.kind(), e.what(), "resending with --command-id " + id + " is safe");
+    }
+}
+
+void addClientOptions(po::options_description& options)
+{
+    options.add_options()("server", po::value<std::vector<std::string>>()->composing(),
+        "IP:PORT of an entry instance; repeatable, the next is tried when one can't be reached "
+        "(default 127.0.0.1:7400)")(
+        "token-file", po::value<std::string>()->default_value(""), "file with the operators' token")(
+        "output,o", po::value<std::string>()->default_value("table"), "table or json");
+}
+
+void addChangeOptions(po::options_description& options)
+{
+    options.add_options()("command-id", po::value<std::string>()->default_value(""),
+        "id of the change; resending it with the same id is safe")("base-revision",
+        po::value<std::uint64_t>(), "refuse the change if its object changed after this revision");
+}
+
+CliClient clientFor(const po::variables_map& values)
+{
+    std::vector<std::string> servers { "127.0.0.1:7400" };
+    if (values.count("server") != 0) {
+        servers = values["server"].as<std::vector<std::string>>();
+    }
+    auto commandId = values.count("command-id") != 0 ? values["command-id"].as<std::string>() : "";
+    return { servers, readToken(values["token-file"].as<std::string>()), commandId };
+}
+
+bool wantsJson(const po::variables_map& values)
+{
+    const auto& output = values["output"].as<std::string>();
+    if (output != "table" && output != "json") {
+        throw UsageError("--output is \"" + output + "\"", "use --output table or --output json");
+    }
+    return output == "json";
+}
+
+std::string escapedSegment(const std::string& text)
+{
+    std::string escaped;
+    Poco::URI::encode(text, "/?#&=+;", escaped);
+    return escaped;
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/CliWatch.cpp
@@ -0,0 +1,71 @@
+#include "celeryline/CliClient.h"
+#include "celeryline/CliCommands.h"
+#include "celeryline/CliOutput.h"
+#include "celeryline/CommandLine.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace celeryline {
+
+namespace po = boost::program_options;
+using Poco::JSON::Object;
+
+namespace {
+
+void printChange(const Object::Ptr& change, bool asJson)
+{
+    if (asJson) {
+        printJson(std::cout, change);
+        return;
+    }
+    std::cout << cellOf(change, "revision") << "  " << cellOf(change, "kind") << "/"
+              << cellOf(change, "name");
+    auto object = change->getObject("object");
+    if (object.isNull()) {
+        std::cout << "  deleted";
+    } else {
+        for (const auto* key : { "phase", "state", "pool", "nextPool", "worker" }) {
+            if (auto cell = cellOf(object, key); cell != "-") {
+                std::cout << "  " << key << "=" << cell;
+            }
+        }
+    }
+    std::cout << std::endl;
+}
+
+} // namespace
+
+ExitCode runWatch(const std::vector<std::string>& arguments)
+{
+    po::options_description options("options");
+    options.add_options()("since", po::value<std::uint64_t>(),
+        "print changes after this revision; default: from now on")("once", "end after the first changes")(
+        "timeout-ms", po::value<std::int64_t>()->default_value(30000), "length of one wait; ends --once");
+    addClientOptions(options);
+    po::variables_map values;
+    if (!parseCommandLine("celeryline watch [--since REVISION]", options, {}, arguments, values)) {
+        return ExitCode::Done;
+    }
+    bool asJson = wantsJson(values);
+    auto client = clientFor(values);
+    auto since = values.count("since") != 0 ? values["since"].as<std::uint64_t>()
+                                            : client.get("/v1/status")->getValue<std::uint64_t>("revision");
+    Millis timeout { values["timeout-ms"].as<std::int64_t>() };
+    for (;;) {
+        auto answer = client.get(
+            "/v1/watch?since=" + std::to_string(since) + "&timeoutMs=" + std::to_string(timeout.count),
+            timeout + Millis { 10000 });
+        auto changes = answer->getArray("changes");
+        for (std::size_t i = 0; i < changes->size(); ++i) {
+            printChange(changes->getObject(static_cast<unsigned>(i)), asJson);
+        }
+        // Another entry instance may be behind the one that answered before.
+        since = std::max(since, answer->getValue<std::uint64_t>("revision"));
+        if (values.count("once") != 0) {
+            return changes->size() != 0 ? ExitCode::Done : ExitCode::TimedOut;
+        }
+    }
+}
+
+} // namespace celeryline
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -1,7 +1,5 @@
 #include "celeryline/CommandLine.h"
 
-#include "celeryline/Error.h"
-
 #include <boost/program_options/parsers.hpp>
 
 #include <iostream>
@@ -27,8 +25,7 @@
         }
         po::notify(values);
     } catch (const po::error& e) {
-        throw Error(
-            ErrorKind::InvalidInput, e.what(), "see: " + usage.substr(0, usage.find(" -")) + " --help");
+        throw UsageError(e.what(), "see: " + usage.substr(0, usage.find(" -")) + " --help");
     }
     return true;
 }
--- a/src/FleetCommand.cpp
+++ b/src/FleetCommand.cpp
@@ -5,6 +5,8 @@
 #include "celeryline/FleetCodec.h"
 #include "celeryline/JsonFields.h"
 
+#include <Poco/String.h>
+
 #include <array>
 
 namespace celeryline {
@@ -33,20 +35,7 @@
 
 void readApply(JsonFields& fields, FleetCommand& command) { readAppliedObjects(fields, command); }
 
-void readDelete(JsonFields& fields, FleetCommand& command)
-{
-    for (auto& item : fields.objects("objects")) {
-        ObjectReference reference { item.requiredText("kind"), item.requiredText("name") };
-        if (reference.kind != "pool" && reference.kind != "service" && reference.kind != "quota") {
-            item.fail("kind", "is \"" + reference.kind + "\"", "only pool, service and quota can be deleted");
-        }
-        item.refuseUnknown();
-        command.objects.push_back(reference);
-    }
-    if (command.objects.empty()) {
-        fields.fail("objects", "is empty", "list the objects to delete");
-    }
-}
+void readDelete(JsonFields& fields, FleetCommand& command) { readDeletedObjects(fields, command); }
 
 void readRegister(JsonFields& fields, FleetCommand& command)
 {
@@ -269,6 +258,9 @@
     }
 }
 
+/// @return the object's kind in lower case: files write "Pool", as the documentation names it.
+std::string kindIn(JsonFields& item) { return Poco::toLower(item.requiredText("kind")); }
+
 } // namespace
 
 const char* nameOf(FleetOperation operation)
@@ -279,7 +271,8 @@
 void readAppliedObjects(JsonFields& fields, FleetCommand& command)
 {
     for (auto& item : fields.objects("objects")) {
-        auto kind = item.requiredText("kind");
+        auto kind = kindIn(item);
+        item.number("revision"); // Part of what the API shows; the base revision decides.
         if (kind == "service") {
             command.services.push_back(serviceFrom(item));
         } else if (kind == "pool") {
@@ -296,6 +289,21 @@
     }
 }
 
+void readDeletedObjects(JsonFields& fields, FleetCommand& command)
+{
+    for (auto& item : fields.objects("objects")) {
+        ObjectReference reference { kindIn(item), item.requiredText("name") };
+        if (reference.kind != "pool" && reference.kind != "service" && reference.kind != "quota") {
+            item.fail("kind", "is \"" + reference.kind + "\"", "only pool, service and quota can be deleted");
+        }
+        item.refuseUnknown();
+        command.objects.push_back(reference);
+    }
+    if (command.objects.empty()) {
+        fields.fail("objects", "is empty", "list the objects to delete");
+    }
+}
+
 FleetCommand parseFleetCommand(const std::string& body)
 {
     auto fields = parseJsonFields(body);
--- /dev/null
+++ b/src/FleetDifference.cpp
@@ -0,0 +1,88 @@
+#include "celeryline/FleetDifference.h"
+
+#include "celeryline/FleetCodec.h"
+
+#include <Poco/JSON/Stringifier.h>
+
+#include <sstream>
+
+namespace celeryline {
+
+using Poco::JSON::Array;
+using Poco::JSON::Object;
+
+namespace {
+
+std::string textOf(const Poco::Dynamic::Var& value)
+{
+    if (value.isString()) {
+        return value.extract<std::string>();
+    }
+    std::ostringstream out;
+    Poco::JSON::Stringifier::stringify(value, out);
+    return out.str();
+}
+
+Array::Ptr fieldsOf(const Object::Ptr& before, const Object::Ptr& after)
+{
+    Array::Ptr fields = new Array;
+    for (const auto& [field, value] : **(after.isNull() ? &before : &after)) {
+        std::string from = before.isNull() ? "" : textOf(before->get(field));
+        std::string to = after.isNull() ? "" : textOf(value);
+        if (from != to) {
+            Object::Ptr change = new Object;
+            change->set("field", field);
+            change->set("from", from);
+            change->set("to", to);
+            fields->add(change);
+        }
+    }
+    return fields;
+}
+
+template <typename T>
+void addChange(Array& list, const std::string& kind, const std::string& name, const T* before, const T* after)
+{
+    if (before && after && *before == *after) {
+        return;
+    }
+    Object::Ptr change = new Object;
+    change->set("kind", kind);
+    change->set("name", name);
+    change->set("change", std::string(!before ? "created" : !after ? "deleted" : "changed"));
+    auto from = before ? toJson(*before) : Object::Ptr();
+    auto to = after ? toJson(*after) : Object::Ptr();
+    change->set("fields", fieldsOf(from, to));
+    list.add(change);
+}
+
+template <typename T>
+void addChanges(Array& list, const std::string& kind, const ObjectMap<T>& before, const ObjectMap<T>& after)
+{
+    if (before == after) {
+        return;
+    }
+    for (const auto& [name, object] : *after) {
+        auto old = before->find(name);
+        addChange(list, kind, name, old == before->end() ? nullptr : &old->second, &object);
+    }
+    for (const auto& [name, object] : *before) {
+        if (after->count(name) == 0) {
+            addChange<T>(list, kind, name, &object, nullptr);
+        }
+    }
+}
+
+} // namespace
+
+Array::Ptr differenceOf(const FleetState& before, const FleetState& after)
+{
+    Array::Ptr list = new Array;
+    addChanges(*list, "service", before.services, after.services);
+    addChanges(*list, "pool", before.pools, after.pools);
+    addChanges(*list, "quota", before.quotas, after.quotas);
+    addChanges(*list, "instance", before.instances, after.instances);
+    return list;
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/OperatorCommands.cpp
@@ -0,0 +1,135 @@
+#include "celeryline/OperatorCommands.h"
+
+#include "celeryline/FleetCodec.h"
+#include "celeryline/JsonFields.h"
+
+#include <Poco/UUIDGenerator.h>
+
+namespace celeryline {
+
+namespace {
+
+using Path = std::vector<std::string>;
+using Reader = void (*)(JsonFields&, const Path&, FleetCommand&);
+
+void readApply(JsonFields& fields, const Path&, FleetCommand& command)
+{
+    if (!command.baseRevision) {
+        fields.fail("baseRevision", "is missing",
+            "give the revision that the change is based on, or 0 if the objects must not exist yet");
+    }
+    readAppliedObjects(fields, command);
+}
+
+void readDelete(JsonFields& fields, const Path&, FleetCommand& command)
+{
+    readDeletedObjects(fields, command);
+}
+
+void readName(JsonFields&, const Path& path, FleetCommand& command) { command.name = path[1]; }
+
+void readLabel(JsonFields& fields, const Path& path, FleetCommand& command)
+{
+    command.name = path[1];
+    command.labels = fields.labels("labels");
+    command.removedLabels = fields.texts("removedLabels");
+}
+
+void readDrain(JsonFields& fields, const Path& path, FleetCommand& command)
+{
+    command.name = path[1];
+    command.force = fields.boolean("force", false);
+}
+
+void readMove(JsonFields& fields, const Path& path, FleetCommand& command)
+{
+    command.name = path[1];
+    command.pool = fields.requiredText("pool");
+}
+
+void readWave(JsonFields& fields, const Path&, FleetCommand& command)
+{
+    command.name = fields.requiredText("name");
+    fields.requiredText("selector");
+    command.selector = fields.selector("selector");
+}
+
+void readJob(JsonFields& fields, const Path&, FleetCommand& command)
+{
+    auto job = fields.object("job");
+    command.job = jobFrom(job);
+    job.refuseUnknown();
+}
+
+void readJobs(JsonFields& fields, const Path&, FleetCommand& command) { command.jobs = fields.texts("jobs"); }
+
+void readJobId(JsonFields&, const Path& path, FleetCommand& command) { command.jobs = { path[1] }; }
+
+/// A path that changes something; "*" stands for a name.
+struct Route {
+    std::string method;
+    Path path;
+    FleetOperation operation;
+    Reader read;
+};
+
+const std::vector<Route>& routes()
+{
+    using Operation = FleetOperation;
+    static const std::vector<Route> all { { "POST", { "apply" }, Operation::Apply, readApply },
+        { "POST", { "delete" }, Operation::Delete, readDelete },
+        { "POST", { "instances", "*", "label" }, Operation::Label, readLabel },
+        { "POST", { "instances", "*", "drain" }, Operation::Drain, readDrain },
+        { "POST", { "instances", "*", "undrain" }, Operation::Undrain, readName },
+        { "POST", { "instances", "*", "move" }, Operation::Move, readMove },
+        { "DELETE", { "instances", "*" }, Operation::RemoveInstance, readName },
+        { "POST", { "waves" }, Operation::StartWave, readWave },
+        { "POST", { "waves", "*", "pause" }, Operation::PauseWave, readName },
+        { "POST", { "waves", "*", "resume" }, Operation::ResumeWave, readName },
+        { "POST", { "jobs" }, Operation::SubmitJob, readJob },
+        { "POST", { "jobs", "cancel" }, Operation::CancelJobs, readJobs },
+        { "DELETE", { "jobs", "*" }, Operation::CancelJobs, readJobId } };
+    return all;
+}
+
+bool isMatch(const Path& pattern, const Path& path)
+{
+    if (pattern.size() != path.size()) {
+        return false;
+    }
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        if (pattern[i] != "*" && pattern[i] != path[i]) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::optional<OperatorChange> readOperatorChange(
+    const std::string& method, const Path& path, const std::string& body)
+{
+    for (const auto& route : routes()) {
+        if (route.method != method || !isMatch(route.path, path)) {
+            continue;
+        }
+        auto fields = parseJsonFields(body.empty() ? "{}" : body);
+        OperatorChange change;
+        change.commandId = fields.text("commandId");
+        change.dryRun = fields.boolean("dryRun", false);
+        change.command.operation = route.operation;
+        auto base = fields.number("baseRevision");
+        if (fields.has("baseRevision")) {
+            change.command.baseRevision = base;
+        }
+        route.read(fields, path, change.command);
+        fields.refuseUnknown();
+        return change;
+    }
+    return {};
+}
+
+std::string newCommandId() { return Poco::UUIDGenerator::defaultGenerator().createRandom().toString(); }
+
+} // namespace celeryline
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryline/EditDistance.h"
 #include "celeryline/Error.h"
+#include "celeryline/JsonComments.h"
 #include "celeryline/SettingsTable.h"
 
 #include <Poco/Exception.h>
@@ -25,32 +26,6 @@
 using Poco::JSON::Array;
 using Poco::JSON::Object;
 
-/// Replaces comments outside of strings by blanks. Poco's parser accepts only `/* */` comments.
-std::string withoutComments(std::string json)
-{
-    bool inString = false;
-    std::size_t i = 0;
-    auto blankUntil = [&](std::size_t end) {
-        for (end = std::min(end, json.size()); i < end; ++i) {
-            json[i] = json[i] == '\n' ? '\n' : ' ';
-        }
-    };
-    while (i < json.size()) {
-        if (inString && json[i] == '\\') {
-            i += 2;
-        } else if (!inString && json.compare(i, 2, "//") == 0) {
-            blankUntil(json.find('\n', i));
-        } else if (!inString && json.compare(i, 2, "/*") == 0) {
-            auto end = json.find("*/", i + 2);
-            blankUntil(end == std::string::npos ? json.size() : end + 2);
-        } else {
-            inString = inString != (json[i] == '"');
-            ++i;
-        }
-    }
-    return json;
-}
-
 [[noreturn]] void fail(const std::string& source, const std::string& what, const std::string& remedy)
 {
     throw Error(ErrorKind::InvalidSettings, source + ": " + what, remedy);
--- a/src/Subcommand.cpp
+++ b/src/Subcommand.cpp
@@ -1,6 +1,8 @@
 #include "celeryline/Subcommand.h"
 
 #include "celeryline/CheckConfigCommand.h"
+#include "celeryline/CliCommands.h"
+#include "celeryline/CommandLine.h"
 #include "celeryline/EditDistance.h"
 #include "celeryline/Error.h"
 #include "celeryline/ServeCommand.h"
@@ -65,8 +67,21 @@
 const std::vector<Subcommand>& subcommands()
 {
     static const std::vector<Subcommand> all {
+        { "apply", "create or change services, pools and quotas from a file", runApply },
+        { "get", "list pools, services, instances, workers, jobs, waves, quotas or permits", runGet },
+        { "describe", "show one object in full", runDescribe },
+        { "watch", "print changes as they happen", runWatch },
+        { "label", "set or remove labels of an instance", runLabel },
+        { "drain", "stop giving an instance new work", runDrain },
+        { "undrain", "take a drain back", runUndrain },
+        { "move", "move an instance to another pool", runMove },
+        { "wave", "start, pause, resume or show maintenance waves", runWave },
+        { "job", "submit, show or cancel jobs", runJob },
+        { "explain", "say why an instance, job or wave waits", runExplain },
+        { "status", "show the state of the system", runStatus },
         { "serve", "run an entry instance", runServe },
         { "check-config", "check a settings file and print any error", runCheckConfig },
+        { "completion", "print a completion script for bash or zsh", runCompletion },
     };
     return all;
 }
@@ -88,6 +103,9 @@
     }
     try {
         return static_cast<int>(runNamed(name, { arguments.begin() + 1, arguments.end() }));
+    } catch (const UsageError& e) {
+        std::cerr << "celeryline " << name << ": " << e.what() << '\n';
+        return static_cast<int>(ExitCode::Usage);
     } catch (const Error& e) {
         std::cerr << "celeryline " << name << ": " << e.what() << '\n';
         return static_cast<int>(exitCodeOf(e.kind()));
