--- a/include/celeryline/ClaimLedger.h
+++ b/include/celeryline/ClaimLedger.h
@@ -50,6 +50,8 @@
 public:
     /// @param settings retention and bounds.
     explicit ClaimLedger(const LedgerSettings& settings);
+    ClaimLedger(ClaimLedger&&) = default;
+    ClaimLedger& operator=(ClaimLedger&&) = default;
 
     /// Applies a command of kind Ledger.
     /// @param index log index of the entry.
