--- a/include/celeryline/CreditShare.h
+++ b/include/celeryline/CreditShare.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,26 +24,39 @@
 
 /// Remembers the sets of live instances that this instance has seen lately.
 ///
-/// Instances notice a change at different times. While they may disagree, this instance may use only what it
-/// owned under every set that it saw; so the shares of all instances never add up to more than the slots, as
-/// long as every instance notices a change within the settling time.
+/// A joining instance makes the shares of the others smaller at once. What a lost instance owned may be used
+/// only after all have noticed the loss (the settling time) and after every live instance has then told what
+/// it still uses beyond its share. The same holds for everything that a new instance owns, and one that was
+/// suspended so long that others may have taken its slots. Without reports it takes until no earlier request
+/// can still run.
 class CreditShare {
 public:
     /// @param instance this instance.
     /// @param settle time in which all instances notice a change of the live set.
-    /// @param now the time; without knowledge of others nothing may be used until the settling time is over.
-    CreditShare(std::string instance, Millis settle, Millis now);
+    /// @param longestRequest longest time a request can last.
+    /// @param now the time.
+    CreditShare(std::string instance, Millis settle, Millis longestRequest, Millis now);
 
-    /// To be called often; tells which instances are live. A pause of the settling time or more means
-    /// that this process was suspended: the others may have taken its slots, so that it begins anew.
+    /// To be called often; tells which instances are live. A pause of the settling time or more means that
+    /// this process was suspended, and makes it new again.
     /// @param now the time.
     /// @param live the live entry instances with this one.
-    void onView(Millis now, const std::vector<std::string>& live);
+    /// @param reportedSince every live instance has sent a report that was asked for then or later.
+    void onView(Millis now, const std::vector<std::string>& live, Millis reportedSince);
+
+    /// @return when reports are to be asked for at the earliest; nothing if none is needed.
+    std::optional<Millis> reportsNeededFrom() const;
+
+    /// @return whether this instance is new.
+    bool isNew() const { return m_isNew; }
 
     /// @param now the time.
     /// @return whether onView() was called so lately that the shares may be used.
     bool isFresh(Millis now) const { return now - m_lastView < m_settle; }
 
+    /// @return the newest set of live instances.
+    const std::vector<std::string>& live() const { return m_live; }
+
     /// @param runner name of the runner.
     /// @param slots its slots.
     /// @return the number of slots that this instance may use until the next onView().
@@ -54,11 +68,16 @@
         Millis replaced; ///< When the next view came.
     };
 
+    bool isSettled(Millis now, Millis changed, Millis reportedFrom, Millis reportedSince) const;
+
     std::string m_instance;
     Millis m_settle;
+    Millis m_longestRequest;
     Millis m_lastView;
+    Millis m_newSince;
+    bool m_isNew = true;
     std::vector<std::string> m_live; ///< The newest view.
-    std::deque<View> m_older; ///< Views that were replaced less than the settling time ago.
+    std::deque<View> m_older; ///< Views whose loss of an instance has not settled.
 };
 
 } // namespace celeryline
--- a/include/celeryline/RunnerCredits.h
+++ b/include/celeryline/RunnerCredits.h
@@ -56,6 +56,9 @@
     /// @return own and borrowed slots, in use or not.
     std::uint32_t capacity() const;
 
+    /// @return own slots that are in use or lent beyond the allowance.
+    std::uint32_t excess() const;
+
     /// Lends up to half of the free own slots.
     /// @param borrower the other instance.
     /// @param borrowerEpoch its boot epoch.
@@ -78,6 +81,11 @@
     /// @param startBy work may start on them before this time.
     void borrow(const std::string& lender, std::uint32_t slots, Millis startBy);
 
+    /// Ends loans from a lender that no longer counts them, as it was lost. Their requests in progress count
+    /// as own ones from now on.
+    /// @param lender the lender; empty for all.
+    void takeOver(const std::string& lender);
+
     /// @param now the time.
     /// @return borrowed slots whose lease has ended and that are not in use; they are no longer borrowed.
     std::vector<Return> takeReturns(Millis now);
--- a/include/celeryline/SlotCredits.h
+++ b/include/celeryline/SlotCredits.h
@@ -20,6 +20,10 @@
 
 /// Divides the slots of the runners between the live entry instances of a data centre and lends unused ones.
 /// Thread-safe. Contains no clock.
+///
+/// A new instance asks every live one for a report: a CreditRequest without service, wish or returns. The
+/// answer lists the slots that the other one still uses beyond its share; the new instance leaves them alone
+/// until they are free.
 class SlotCredits {
 public:
     /// @param instance this instance.
@@ -42,11 +46,23 @@
     /// before the first byte is sent, since the process may have been suspended in between.
     bool isFresh(Millis now) const { return now.count < m_freshUntil.load(std::memory_order_relaxed); }
 
-    /// Lends unused slots and takes back returned ones.
+    /// @return live instances whose report is needed: this instance is new, or an earlier report listed
+    /// slots.
+    /// @param now the time.
+    std::vector<std::string> reportsNeeded(Millis now) const;
+
+    /// Adopts the report of another instance.
+    /// @param peer the other instance.
+    /// @param report its answer to makeRequest().
+    /// @param sent when the request was sent.
+    void onReport(const std::string& peer, const CreditGrant& report, Millis sent);
+
+    /// Lends unused slots and takes back returned ones, or reports.
     /// @param now the time.
     /// @param request the request of another instance.
     /// @param runners runners whose slots may be lent, as indices into the routes.
     /// @return what was lent.
+    /// @throws Error of kind Unavailable for a report to an instance that was not noticed as live yet.
     CreditGrant onRequest(Millis now, const CreditRequest& request, const std::vector<std::size_t>& runners);
 
     /// Adds what another instance lent.
@@ -64,9 +80,18 @@
     CreditRequest makeRequest() const;
 
 private:
-    void forgetLostBorrowers(Millis now, const std::vector<std::string>& live);
-
     using Key = std::pair<std::string, std::uint64_t>; ///< Runner and its boot epoch.
+
+    void forgetLostPeers(Millis now, const std::vector<std::string>& live);
+    Millis reportedSince(Millis now, const std::vector<std::string>& live) const;
+    void takeOver(const std::string& lender);
+    std::uint32_t allowance(const Key& key, std::uint32_t slots) const;
+    CreditGrant report(const std::string& peer) const;
+
+    struct Report {
+        Millis sent; ///< When it was asked for.
+        std::map<Key, std::uint32_t> used; ///< Slots that the peer uses beyond its share.
+    };
     struct Entry {
         std::shared_ptr<RunnerCredits> credits;
         std::uint32_t slots = 0; ///< 0 if no route leads to it.
@@ -76,11 +101,13 @@
     std::uint64_t m_bootEpoch;
     Millis m_settle;
     Millis m_longestRequest;
-    std::mutex m_mutex; ///< Not taken for single requests.
+    mutable std::mutex m_mutex; ///< Not taken for single requests.
     CreditShare m_share;
     std::map<Key, Entry> m_entries;
     std::vector<Key> m_routed; ///< In the order of the routes.
-    std::map<std::string, Millis> m_borrowers; ///< When each was last seen live.
+    std::map<std::string, Millis> m_peers; ///< When each was last seen live.
+    std::map<std::string, Report> m_reports;
+    std::map<std::string, std::uint64_t> m_peerEpochs; ///< Boot epochs that peers have told.
     std::atomic<std::int64_t> m_freshUntil { 0 };
 };
 
--- a/src/CreditShare.cpp
+++ b/src/CreditShare.cpp
@@ -24,30 +24,57 @@
     return slots > rank ? (slots - rank + count - 1) / count : 0;
 }
 
-CreditShare::CreditShare(std::string instance, Millis settle, Millis now)
+CreditShare::CreditShare(std::string instance, Millis settle, Millis longestRequest, Millis now)
     : m_instance(std::move(instance))
     , m_settle(settle)
+    , m_longestRequest(longestRequest)
     , m_lastView(now)
+    , m_newSince(now)
 {
 }
 
-void CreditShare::onView(Millis now, const std::vector<std::string>& live)
+bool CreditShare::isSettled(Millis now, Millis changed, Millis reportedFrom, Millis reportedSince) const
+{
+    const auto settled = changed + m_settle;
+    return now >= settled && (reportedSince >= reportedFrom || now >= settled + m_longestRequest);
+}
+
+void CreditShare::onView(Millis now, const std::vector<std::string>& live, Millis reportedSince)
 {
     if (!isFresh(now)) {
-        m_older.push_back({ {}, now });
+        m_isNew = true;
+        m_newSince = now;
     }
     m_lastView = now;
-    while (!m_older.empty() && m_older.front().replaced + m_settle <= now) {
+    const bool hasLost = std::any_of(m_live.begin(), m_live.end(),
+        [&live](const std::string& name) { return std::find(live.begin(), live.end(), name) == live.end(); });
+    if (hasLost) {
+        m_older.push_back({ std::move(m_live), now });
+    }
+    m_live = live;
+    while (!m_older.empty()
+        && isSettled(now, m_older.front().replaced, m_older.front().replaced + m_settle, reportedSince)) {
         m_older.pop_front();
     }
-    if (live != m_live) {
-        m_older.push_back({ std::move(m_live), now });
-        m_live = live;
+    // An instance answers a new one only after it has noticed it, so that reports may be asked for at once.
+    if (m_isNew && isSettled(now, m_newSince, m_newSince, reportedSince)) {
+        m_isNew = false;
     }
 }
 
+std::optional<Millis> CreditShare::reportsNeededFrom() const
+{
+    if (!m_older.empty()) {
+        return m_older.back().replaced + m_settle;
+    }
+    return m_isNew ? std::optional<Millis>(m_newSince) : std::nullopt;
+}
+
 std::uint32_t CreditShare::allowance(const std::string& runner, std::uint32_t slots) const
 {
+    if (m_isNew) {
+        return 0;
+    }
     auto least = shareOf(runner, slots, m_instance, m_live);
     for (const auto& view : m_older) {
         least = std::min(least, shareOf(runner, slots, m_instance, view.live));
--- a/src/RouterLoans.cpp
+++ b/src/RouterLoans.cpp
@@ -112,6 +112,13 @@
             m_peerPause[loans.first] = m_clock.now() + peerPause;
         }
     }
+    for (const auto& peer : m_credits.reportsNeeded(m_clock.now())) {
+        const auto sent = m_clock.now();
+        try {
+            m_credits.onReport(peer, m_requestCredits(peer, m_credits.makeRequest(), loanTimeout), sent);
+        } catch (const Error&) { // NOLINT(bugprone-empty-catch): it is asked again in the next round.
+        }
+    }
     std::vector<std::string> peers;
     for (const auto& name : state->table.liveInstances) {
         if (name != m_settings.name && m_peerPause[name] <= m_clock.now()) {
--- a/src/RunnerCredits.cpp
+++ b/src/RunnerCredits.cpp
@@ -35,6 +35,8 @@
         m_borrowed.begin(), m_borrowed.end(), [source](const Borrowed& b) { return b.id == source.loan; });
     if (loan != m_borrowed.end()) {
         --loan->used;
+    } else {
+        --m_ownInUse; // The loan was taken over.
     }
 }
 
@@ -52,6 +54,13 @@
     return (own > lent ? own - lent : 0) + m_borrowedTotal.load(std::memory_order_relaxed);
 }
 
+std::uint32_t RunnerCredits::excess() const
+{
+    const std::lock_guard lock(m_mutex);
+    const std::uint32_t taken = m_ownInUse + m_lentTotal;
+    return taken > m_allowance ? taken - m_allowance : 0;
+}
+
 std::uint32_t RunnerCredits::lend(
     const std::string& borrower, std::uint64_t borrowerEpoch, std::uint32_t wanted, Millis until)
 {
@@ -96,6 +105,18 @@
     updateTotals();
 }
 
+void RunnerCredits::takeOver(const std::string& lender)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& loan : m_borrowed) {
+        if (lender.empty() || loan.lender == lender) {
+            m_ownInUse += loan.used;
+            loan.slots = 0;
+        }
+    }
+    updateTotals();
+}
+
 std::vector<RunnerCredits::Return> RunnerCredits::takeReturns(Millis now)
 {
     std::vector<Return> returns;
--- a/src/SlotCredits.cpp
+++ b/src/SlotCredits.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/SlotCredits.h"
 
+#include "celeryline/Error.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -18,7 +20,7 @@
     , m_bootEpoch(bootEpoch)
     , m_settle(settle)
     , m_longestRequest(longestRequest)
-    , m_share(std::move(instance), settle, now)
+    , m_share(std::move(instance), settle, longestRequest, now)
 {
 }
 
@@ -37,7 +39,7 @@
             entry.credits = std::make_shared<RunnerCredits>();
         }
         entry.slots = runner.slots;
-        entry.credits->setAllowance(m_share.allowance(runner.name, runner.slots));
+        entry.credits->setAllowance(allowance(key, runner.slots));
         credits.push_back(entry.credits);
         m_routed.push_back(key);
     }
@@ -47,31 +49,117 @@
 void SlotCredits::tick(Millis now, const std::vector<std::string>& live)
 {
     const std::lock_guard lock(m_mutex);
-    m_share.onView(now, live);
-    forgetLostBorrowers(now, live);
+    const bool wasNew = m_share.isNew();
+    const auto before = m_share.live();
+    m_share.onView(now, live, reportedSince(now, live));
+    if (m_share.isNew() && !wasNew) {
+        // Lenders may have taken this instance for lost and ended its loans.
+        takeOver("");
+    }
+    for (const auto& name : before) {
+        if (std::find(live.begin(), live.end(), name) == live.end()) {
+            takeOver(name);
+        }
+    }
+    forgetLostPeers(now, live);
     for (auto i = m_entries.begin(); i != m_entries.end();) {
         auto& entry = i->second;
-        entry.credits->setAllowance(m_share.allowance(i->first.first, entry.slots));
+        entry.credits->setAllowance(allowance(i->first, entry.slots));
         entry.credits->expire(now);
         i = entry.slots == 0 && entry.credits->isIdle() ? m_entries.erase(i) : std::next(i);
     }
     m_freshUntil = (now + m_settle).count;
 }
 
-void SlotCredits::forgetLostBorrowers(Millis now, const std::vector<std::string>& live)
+void SlotCredits::takeOver(const std::string& lender)
 {
-    for (auto i = m_borrowers.begin(); i != m_borrowers.end();) {
-        if (std::find(live.begin(), live.end(), i->first) != live.end()) {
-            i->second = now;
-        } else if (now - i->second >= m_settle) {
-            for (auto& entry : m_entries) {
-                entry.second.credits->forgetEarlier(i->first, std::numeric_limits<std::uint64_t>::max());
-            }
-            i = m_borrowers.erase(i);
+    for (auto& entry : m_entries) {
+        entry.second.credits->takeOver(lender);
+    }
+}
+
+Millis SlotCredits::reportedSince(Millis now, const std::vector<std::string>& live) const
+{
+    auto since = now;
+    for (const auto& name : live) {
+        if (name != m_instance) {
+            const auto report = m_reports.find(name);
+            since = std::min(since, report == m_reports.end() ? Millis { -1 } : report->second.sent);
+        }
+    }
+    return since;
+}
+
+void SlotCredits::forgetLostPeers(Millis now, const std::vector<std::string>& live)
+{
+    for (const auto& name : live) {
+        m_peers[name] = now;
+    }
+    for (auto i = m_peers.begin(); i != m_peers.end();) {
+        if (now - i->second < m_settle) {
+            ++i;
             continue;
         }
-        ++i;
+        for (auto& entry : m_entries) {
+            entry.second.credits->forgetEarlier(i->first, std::numeric_limits<std::uint64_t>::max());
+        }
+        m_reports.erase(i->first);
+        i = m_peers.erase(i);
+    }
+}
+
+std::uint32_t SlotCredits::allowance(const Key& key, std::uint32_t slots) const
+{
+    auto own = m_share.allowance(key.first, slots);
+    for (const auto& report : m_reports) {
+        const auto used = report.second.used.find(key);
+        if (used != report.second.used.end()) {
+            own -= std::min(own, used->second);
+        }
     }
+    return own;
+}
+
+std::vector<std::string> SlotCredits::reportsNeeded(Millis now) const
+{
+    std::vector<std::string> peers;
+    const std::lock_guard lock(m_mutex);
+    const auto from = m_share.reportsNeededFrom();
+    for (const auto& name : m_share.live()) {
+        const auto report = m_reports.find(name);
+        const bool isKnown = report != m_reports.end();
+        const bool isOld = from && now >= *from && (!isKnown || report->second.sent < *from);
+        if (name != m_instance && (isOld || (isKnown && !report->second.used.empty()))) {
+            peers.push_back(name);
+        }
+    }
+    return peers;
+}
+
+void SlotCredits::onReport(const std::string& peer, const CreditGrant& report, Millis sent)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& entry = m_reports[peer];
+    entry.sent = sent;
+    entry.used.clear();
+    for (const auto& credit : report.lent) {
+        entry.used[{ credit.runner, credit.bootEpoch }] = credit.slots;
+    }
+}
+
+CreditGrant SlotCredits::report(const std::string& peer) const
+{
+    const auto& live = m_share.live();
+    if (std::find(live.begin(), live.end(), peer) == live.end()) {
+        throw Error(ErrorKind::Unavailable, "instance " + peer + " was not noticed yet", "ask again");
+    }
+    CreditGrant grant;
+    for (const auto& entry : m_entries) {
+        if (const auto excess = entry.second.credits->excess()) {
+            grant.lent.push_back({ entry.first.first, entry.first.second, excess });
+        }
+    }
+    return grant;
 }
 
 CreditGrant SlotCredits::onRequest(
@@ -80,6 +168,15 @@
     CreditGrant grant;
     grant.lease = std::min(loanLease, m_settle);
     const std::lock_guard lock(m_mutex);
+    auto& epoch = m_peerEpochs[request.borrower];
+    if (request.borrowerEpoch > epoch) {
+        // The new boot knows nothing of the loans that it gave before.
+        epoch = request.borrowerEpoch;
+        takeOver(request.borrower);
+    }
+    if (request.service.empty() && request.wanted == 0 && request.returned.empty()) {
+        return report(request.borrower);
+    }
     for (auto& entry : m_entries) {
         entry.second.credits->forgetEarlier(request.borrower, request.borrowerEpoch);
     }
@@ -104,7 +201,7 @@
         }
     }
     if (!grant.lent.empty()) {
-        m_borrowers[request.borrower] = now;
+        m_peers.emplace(request.borrower, now);
     }
     return grant;
 }
