Add the maintenance controller, instructions and the upstream observer

Cause: waves and moves had decisions and state but nothing that drove them. Change: MaintenanceController runs planWave on the leader and submits permits, reboots, abandons, handovers and the end of waves; Instructions answers announcements on any entry instance; UpstreamObserver compares the live upstreams of a data centre with the fleet state and submits what differs. Timeouts are measured with the steady clock of the leader.

--- a/src/FleetCommand.cpp
+++ b/src/FleetCommand.cpp
@@ -99,7 +99,7 @@
 void readAbandon(JsonFields& fields, FleetCommand& command)
 {
     readNamed(fields, command);
-    command.wave = fields.text("wave");
+    command.wave = fields.requiredText("wave");
     command.reason = fields.text("reason");
 }
 
--- /dev/null
+++ b/src/MaintenanceController.cpp
@@ -0,0 +1,215 @@
+#include "celeryline/MaintenanceController.h"
+
+#include "celeryline/Error.h"
+#include "celeryline/Logging.h"
+#include "celeryline/OperatorCommands.h"
+
+namespace celeryline {
+
+namespace {
+
+constexpr Millis submitTimeout { 2000 };
+
+FleetCommand commandOn(FleetOperation operation, const std::string& name)
+{
+    FleetCommand command;
+    command.operation = operation;
+    command.name = name;
+    return command;
+}
+
+bool hasWavePermit(const FleetState& fleet, const std::string& name)
+{
+    auto permit = fleet.permits->find(name);
+    return permit != fleet.permits->end() && !permit->second.wave.empty();
+}
+
+bool isGuarded(const FleetState& fleet, const Instance& instance)
+{
+    auto pool = fleet.pools->find(instance.pool);
+    return pool != fleet.pools->end() && pool->second.guarded;
+}
+
+} // namespace
+
+MaintenanceController::MaintenanceController(const MaintenanceSettings& settings, Store& store,
+    const FleetReader& fleet, ReachableDataCentres reachable, Planner planner)
+    : m_settings(settings)
+    , m_store(store)
+    , m_fleet(fleet)
+    , m_reachable(std::move(reachable))
+    , m_planner(std::move(planner))
+{
+}
+
+void MaintenanceController::step(Millis now)
+{
+    if (m_store.status().role != ConsensusRole::Leader) {
+        m_timers.clear();
+        m_haltReasons.clear();
+        return;
+    }
+    try {
+        trackPhases(*m_fleet.fleet(), now);
+        advanceInstances();
+        permitMoves(now);
+        auto fleet = m_fleet.fleet();
+        for (const auto& [name, wave] : *fleet->waves) {
+            if (wave.state != WaveState::Done) {
+                advanceWave(name, now);
+            }
+        }
+    } catch (const Error& e) {
+        // Every step decides on the newest state, so what wasn't done now is done in a later one.
+        LOG4CXX_WARN(logger("maintenance"), "step ended early: " << e.what());
+    }
+}
+
+void MaintenanceController::trackPhases(const FleetState& fleet, Millis now)
+{
+    std::map<std::string, PhaseTimer> timers;
+    for (const auto& [name, instance] : *fleet.instances) {
+        PhaseTimer timer { instance.phaseSince, instance.phase, now };
+        auto known = m_timers.find(name);
+        if (known != m_timers.end() && known->second.enteredAt == timer.enteredAt
+            && known->second.phase == timer.phase) {
+            timer.since = known->second.since;
+        }
+        timers.emplace_hint(timers.end(), name, timer);
+    }
+    m_timers = std::move(timers);
+}
+
+FleetView MaintenanceController::viewOf(const FleetState& fleet, Millis now) const
+{
+    FleetView view;
+    for (const auto& [name, instance] : *fleet.instances) {
+        FleetInstance item;
+        item.name = name;
+        item.dataCentre = instance.dataCentre;
+        item.rack = instance.rack;
+        item.pool = instance.pool;
+        auto pool = fleet.pools->find(instance.pool);
+        item.service = pool == fleet.pools->end() ? "" : pool->second.service;
+        // An instance that moves serves until it has a permit.
+        bool stillServes = instance.phase == InstancePhase::Moving && fleet.permits->count(name) == 0;
+        item.phase = stillServes ? InstancePhase::Serving : instance.phase;
+        auto timer = m_timers.find(name);
+        bool isSamePhase = timer != m_timers.end() && timer->second.phase == instance.phase
+            && timer->second.enteredAt == instance.phaseSince;
+        item.phaseSince = isSamePhase ? timer->second.since : now;
+        view.instances.push_back(item);
+    }
+    for (const auto& [name, service] : *fleet.services) {
+        view.budgets[name] = { service.maxUnavailablePercent, service.minAvailable };
+    }
+    for (const auto& [name, permit] : *fleet.permits) {
+        view.permits.push_back({ name, now + m_settings.permitLease });
+    }
+    view.reachableDataCentres = m_reachable();
+    return view;
+}
+
+void MaintenanceController::advanceInstances()
+{
+    auto fleet = m_fleet.fleet();
+    for (const auto& [name, instance] : *fleet->instances) {
+        if (!instance.drained) {
+            continue;
+        }
+        if (instance.phase == InstancePhase::Moving) {
+            submit(commandOn(FleetOperation::FinishMove, name));
+        } else if (instance.phase == InstancePhase::Draining && hasWavePermit(*fleet, name)) {
+            submit(commandOn(FleetOperation::InstanceRebooting, name));
+        }
+    }
+}
+
+void MaintenanceController::permitMoves(Millis now)
+{
+    auto fleet = m_fleet.fleet();
+    std::vector<std::string> granted;
+    FleetView view;
+    for (const auto& [name, instance] : *fleet->instances) {
+        if (instance.phase != InstancePhase::Moving || fleet->permits->count(name) != 0) {
+            continue;
+        }
+        if (view.instances.empty()) {
+            view = viewOf(*fleet, now);
+        }
+        if (!isGuarded(*fleet, instance) || mayStop(name, view, now).allowed) {
+            granted.push_back(name);
+            view.permits.push_back({ name, now + m_settings.permitLease });
+        }
+    }
+    grant("", granted, fleet->revision);
+}
+
+void MaintenanceController::advanceWave(const std::string& name, Millis now)
+{
+    auto fleet = m_fleet.fleet();
+    auto it = fleet->waves->find(name);
+    if (it == fleet->waves->end()) {
+        return;
+    }
+    const auto& wave = it->second;
+    auto decision
+        = m_planner({ viewOf(*fleet, now), wave.pending, wave.completed, wave.abandoned }, now, m_settings);
+    noteHalt(name, decision.halted && wave.state == WaveState::Running ? decision.haltReason : "");
+    for (const auto& step : decision.abandons) {
+        LOG4CXX_WARN(
+            logger("maintenance"), "wave " << name << " abandons " << step.instance << ": " << step.reason);
+        auto command = commandOn(FleetOperation::AbandonInstance, step.instance);
+        command.wave = name;
+        command.reason = step.reason;
+        submit(command);
+    }
+    if (wave.state == WaveState::Running) {
+        std::vector<std::string> granted;
+        for (const auto& step : decision.grants) {
+            granted.push_back(step.instance);
+        }
+        grant(name, granted, fleet->revision);
+    }
+    if (decision.done) {
+        submit(commandOn(FleetOperation::EndWave, name));
+    }
+}
+
+void MaintenanceController::grant(
+    const std::string& wave, const std::vector<std::string>& instances, std::uint64_t revision)
+{
+    if (instances.empty()) {
+        return;
+    }
+    FleetCommand command;
+    command.operation = FleetOperation::GrantPermits;
+    for (const auto& instance : instances) {
+        command.permits.push_back({ instance, wave, revision, m_settings.permitLease });
+    }
+    submit(command);
+}
+
+void MaintenanceController::noteHalt(const std::string& wave, const std::string& reason)
+{
+    auto& known = m_haltReasons[wave];
+    if (known != reason) {
+        LOG4CXX_INFO(logger("maintenance"),
+            "wave " << wave << (reason.empty() ? " goes on" : " is halted: " + reason));
+        known = reason;
+    }
+    if (reason.empty()) {
+        m_haltReasons.erase(wave);
+    }
+}
+
+void MaintenanceController::submit(const FleetCommand& command)
+{
+    auto result = m_store.submit(encodeFleetCommand(newCommandId(), command), submitTimeout);
+    if (!result.accepted) {
+        LOG4CXX_INFO(logger("maintenance"),
+            nameOf(command.operation) << " " << command.name << " was refused: " << result.body);
+    }
+}
+
+} // namespace celeryline
--- a/src/RegistryRunner.cpp
+++ b/src/RegistryRunner.cpp
@@ -25,10 +25,7 @@
 {
 }
 
-RegistryRunner::~RegistryRunner()
-{
-    stop();
-}
+RegistryRunner::~RegistryRunner() { stop(); }
 
 void RegistryRunner::start()
 {
--- /dev/null
+++ b/test/SimulatedSite.h
@@ -0,0 +1,171 @@
+/// @file
+/// Machines that announce themselves and follow instructions, on a manual clock.
+#pragma once
+
+#include "FleetFixture.h"
+#include "LocalStore.h"
+#include "celeryline/Clock.h"
+#include "celeryline/Instructions.h"
+#include "celeryline/MaintenanceController.h"
+#include "celeryline/PoolMembership.h"
+#include "celeryline/UpstreamObserver.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace celeryline::test {
+
+/// One machine of the site.
+struct Machine {
+    Announcement announcement;
+    bool isUp = true;
+    bool returns = true; ///< Comes back after a reboot.
+    int ticksDown = 0;
+    int ticksOfWork = 2; ///< How long its work in progress takes after it was told to drain.
+    int reboots = 0;
+};
+
+/// Machines, one entry instance and the controller.
+class SimulatedSite : public StateFixture {
+public:
+    static constexpr Millis tickLength { 100 };
+
+    /// @param racks racks of four machines, all in pool "a".
+    explicit SimulatedSite(int racks)
+    {
+        settings.drainTimeout = Millis { 5000 };
+        settings.rebootTimeout = Millis { 5000 };
+        settings.permitLease = Millis { 3000 };
+        settings.rollOutTimeWeight = 1;
+        run(applyOf({ "a", "b" }));
+        for (int i = 0; i < racks * 4; ++i) {
+            Machine machine;
+            auto& announcement = machine.announcement;
+            announcement.name = "w" + std::to_string(100 + i);
+            announcement.dataCentre = "dc1";
+            announcement.rack = "r" + std::to_string(i / 4);
+            announcement.labels = { { "pool", "a" }, { "service", "a" } };
+            announcement.bootEpoch = 1;
+            machines[announcement.name] = machine;
+        }
+        changeLeader();
+        tick();
+    }
+
+    /// Replaces the controller, as a new leader does.
+    void changeLeader()
+    {
+        controller = std::make_unique<MaintenanceController>(
+            settings, store, state, [] { return std::set<std::string> { "dc1" }; });
+    }
+
+    /// Stops all machines of a rack; they come back with a new start.
+    void failRack(const std::string& rack, int ticks)
+    {
+        for (auto& [name, machine] : machines) {
+            if (machine.announcement.rack == rack) {
+                machine.isUp = false;
+                machine.ticksDown = ticks;
+            }
+        }
+    }
+
+    /// Lets time pass: machines announce, the observer and the controller look once.
+    void tick()
+    {
+        clock.advance(tickLength);
+        store.now = clock.wallTime();
+        UpstreamSnapshot snapshot;
+        snapshot.liveInstances = { "entry-1" };
+        for (auto& [name, machine] : machines) {
+            advance(machine);
+            if (machine.isUp) {
+                snapshot.upstreams.push_back(machine.announcement);
+            }
+        }
+        upstreams.snapshot = std::make_shared<const UpstreamSnapshot>(snapshot);
+        observer.step(clock.now(), true);
+        controller->step(clock.now());
+    }
+
+    void runTicks(int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            tick();
+        }
+    }
+
+    /// @return the budget of service "a".
+    ServiceBudget budget() const
+    {
+        auto fleet = state.fleet();
+        return budgetOf(*fleet->pools, *fleet->instances, *fleet->permits, fleet->services->at("a"));
+    }
+
+    /// Runs until a wave ends.
+    /// @param beforeTick called before each tick with its number.
+    /// @return whether the wave ended, and whether no tick granted permits beyond the budget.
+    std::pair<bool, bool> runWave(
+        const std::string& wave, int maxTicks, const std::function<void(int)>& beforeTick = [](int) {})
+    {
+        bool isWithinBudget = true;
+        for (int i = 0; i < maxTicks; ++i) {
+            beforeTick(i);
+            auto permits = state.fleet()->permits;
+            tick();
+            bool isGranted = false;
+            for (const auto& [name, permit] : *state.fleet()->permits) {
+                auto old = permits->find(name);
+                isGranted = isGranted || old == permits->end() || old->second.revision != permit.revision;
+            }
+            isWithinBudget = isWithinBudget && (!isGranted || budget().room() >= 0);
+            if (state.fleet()->waves->at(wave).state == WaveState::Done) {
+                return { true, isWithinBudget };
+            }
+        }
+        return { false, isWithinBudget };
+    }
+
+    MaintenanceSettings settings;
+    ManualClock clock;
+    LocalStore store { state };
+    FixedUpstreams upstreams;
+    std::map<std::string, Machine> machines;
+    Instructions instructions { state };
+    UpstreamObserver observer { { "entry-1", "dc1" }, store, state, upstreams };
+    std::unique_ptr<MaintenanceController> controller;
+
+private:
+    void advance(Machine& machine)
+    {
+        auto& announcement = machine.announcement;
+        if (!machine.isUp) {
+            if (machine.returns && --machine.ticksDown <= 0) {
+                machine.isUp = true;
+                ++announcement.bootEpoch;
+                announcement.draining = false;
+            }
+            return;
+        }
+        auto reply = instructions.answer(announcement, {}, true);
+        if (reply.instruction == "reboot") {
+            ++machine.reboots;
+            machine.isUp = false;
+            machine.ticksDown = 4;
+            return;
+        }
+        bool wasDraining = announcement.draining;
+        announcement.draining = reply.instruction == "drain";
+        if (!announcement.draining) {
+            announcement.usage.cpuMilli = 1000;
+            machine.ticksOfWork = 2;
+        } else if (wasDraining && --machine.ticksOfWork <= 0) {
+            announcement.usage.cpuMilli = 0;
+        }
+        announcement.labels = labelsFor(*state.fleet(), announcement);
+    }
+};
+
+} // namespace celeryline::test
