Call other entry instances over Cap'n Proto RPC

There was only the schema. PeerServer runs the blocking handler methods on worker threads. PeerMonitor sends heartbeats.

--- /dev/null
+++ b/src/PeerMonitor.cpp
@@ -0,0 +1,119 @@
+#include "celeryline/PeerMonitor.h"
+
+#include <algorithm>
+
+namespace celeryline {
+
+PeerMonitor::PeerMonitor(const PeerMonitorOptions& options, PeerTransport& transport, const Clock& clock,
+    std::function<Heartbeat()> ownHeartbeat)
+    : m_options(options)
+    , m_transport(transport)
+    , m_clock(clock)
+    , m_ownHeartbeat(std::move(ownHeartbeat))
+{
+    for (const auto& name : options.peers) {
+        m_peers[name].heartbeat.name = name;
+    }
+}
+
+PeerMonitor::~PeerMonitor() { stop(); }
+
+void PeerMonitor::start()
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+void PeerMonitor::stop()
+{
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        m_isStopping = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void PeerMonitor::run()
+{
+    bool isStopping = false;
+    while (!isStopping) {
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            isStopping
+                = m_wake.wait_for(lock, m_options.interval.toChrono(), [this] { return m_isStopping; });
+        }
+        sendNow();
+    }
+}
+
+void PeerMonitor::sendNow()
+{
+    auto heartbeat = m_ownHeartbeat();
+    for (const auto& name : m_options.peers) {
+        m_transport.sendHeartbeat(name, heartbeat);
+    }
+}
+
+void PeerMonitor::note(const Heartbeat& heartbeat)
+{
+    std::lock_guard<std::mutex> lock(m_mutex);
+    auto found = m_peers.find(heartbeat.name);
+    if (found != m_peers.end()) {
+        found->second = { heartbeat, m_clock.now(), true };
+    }
+}
+
+PeerStatus PeerMonitor::statusOf(const PeerStatus& stored, Millis now) const
+{
+    auto status = stored;
+    status.isLive = stored.isLive && now < stored.lastHeard + m_options.timeout;
+    return status;
+}
+
+std::vector<PeerStatus> PeerMonitor::peers() const
+{
+    std::vector<PeerStatus> result;
+    auto now = m_clock.now();
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [name, stored] : m_peers) {
+        result.push_back(statusOf(stored, now));
+    }
+    return result;
+}
+
+PeerStatus PeerMonitor::peer(const std::string& name) const
+{
+    auto now = m_clock.now();
+    std::lock_guard<std::mutex> lock(m_mutex);
+    auto found = m_peers.find(name);
+    return found == m_peers.end() ? PeerStatus {} : statusOf(found->second, now);
+}
+
+std::uint64_t PeerMonitor::highestRevision() const
+{
+    std::uint64_t highest = 0;
+    std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& [name, stored] : m_peers) {
+        highest = std::max(highest, stored.heartbeat.appliedRevision);
+    }
+    return highest;
+}
+
+std::string PeerMonitor::leaderHint() const
+{
+    std::string leader;
+    std::uint64_t revision = 0;
+    for (const auto& status : peers()) {
+        const auto& heartbeat = status.heartbeat;
+        if (status.isLive && !heartbeat.leader.empty()
+            && (leader.empty() || heartbeat.appliedRevision > revision)) {
+            leader = heartbeat.leader;
+            revision = heartbeat.appliedRevision;
+        }
+    }
+    return leader;
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/PeerServer.cpp
@@ -0,0 +1,165 @@
+#include "celeryline/PeerServer.h"
+
+#include "celeryline/Error.h"
+#include "celeryline/Logging.h"
+#include "celeryline/PeerService.h"
+#include "celeryline/RpcLoop.h"
+#include "celeryline/SocketOptions.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <capnp/rpc-twoparty.h>
+
+#include <atomic>
+#include <map>
+
+namespace celeryline {
+
+namespace {
+
+/// Bounds the descriptors that strangers can hold; a process has one connection from each peer.
+constexpr std::size_t maxConnections = 256;
+constexpr std::chrono::seconds openTimeout { 5 };
+
+/// One accepted connection.
+struct Connection {
+    kj::Own<kj::AsyncIoStream> stream;
+    kj::Own<capnp::TwoPartyVatNetwork> network;
+    kj::Own<capnp::RpcSystem<capnp::rpc::twoparty::VatId>> rpcSystem;
+    bool isOpened = false; ///< The token was presented.
+};
+
+} // namespace
+
+class PeerServer::Impl final : public kj::TaskSet::ErrorHandler {
+public:
+    Impl(const std::string& address, const std::string& token, PeerHandler& handler)
+        : m_address(address)
+        , m_token(token)
+        , m_handler(handler)
+    {
+    }
+
+    void start()
+    {
+        try {
+            m_loop.run([this] { listen(); });
+        } catch (const kj::Exception& e) {
+            throw Error(ErrorKind::InvalidSettings,
+                "can't listen on " + m_address + ": " + e.getDescription().cStr(),
+                "choose another peerListen in the settings or end the process that uses it");
+        } catch (const Poco::Exception& e) {
+            throw Error(ErrorKind::InvalidSettings, "can't listen on " + m_address + ": " + e.displayText(),
+                "set peerListen to IP:port");
+        }
+    }
+
+    void stop()
+    {
+        if (m_isStopped.exchange(true)) {
+            return;
+        }
+        m_workers.submits.stop();
+        m_workers.others.stop();
+        m_loop.run([] {}); // Results of the last calls are written before the connections close.
+        m_loop.run([this] {
+            m_tasks = nullptr;
+            m_connections.clear();
+            m_listener = nullptr;
+        });
+        m_loop.stop();
+    }
+
+    std::uint16_t port() const { return m_port; }
+
+private:
+    void listen()
+    {
+        Poco::Net::SocketAddress address(m_address);
+        m_listener = m_loop.network().getSockaddr(address.addr(), address.length())->listen();
+        m_port = static_cast<std::uint16_t>(m_listener->getPort());
+        m_tasks = kj::heap<kj::TaskSet>(*this);
+        accept();
+    }
+
+    void accept()
+    {
+        m_tasks->add(m_listener->accept().then(
+            [this](kj::Own<kj::AsyncIoStream>&& stream) {
+                serve(kj::mv(stream));
+                accept();
+            },
+            [this](kj::Exception&& e) {
+                LOG4CXX_WARN(logger("rpc"), "can't accept a connection: " << e.getDescription().cStr());
+                // Without a pause, running out of descriptors would keep the loop busy.
+                m_tasks->add(m_loop.timer().afterDelay(100 * kj::MILLISECONDS).then([this] { accept(); }));
+            }));
+    }
+
+    void serve(kj::Own<kj::AsyncIoStream>&& stream)
+    {
+        if (m_connections.size() >= maxConnections) {
+            LOG4CXX_WARN(logger("rpc"), "closed a connection: " << maxConnections << " are open");
+            return;
+        }
+        detail::setSocketOptions(*stream);
+        auto number = ++m_lastNumber;
+        auto& connection = m_connections[number];
+        connection.stream = kj::mv(stream);
+        connection.network
+            = kj::heap<capnp::TwoPartyVatNetwork>(*connection.stream, capnp::rpc::twoparty::Side::SERVER);
+        rpc::Gate::Client gate = kj::heap<detail::GateService>(m_token, m_handler, m_workers, [this, number] {
+            auto found = m_connections.find(number);
+            if (found != m_connections.end()) {
+                found->second.isOpened = true;
+            }
+        });
+        connection.rpcSystem = kj::heap(capnp::makeRpcServer(*connection.network, gate));
+        // A connection must not be destroyed by a continuation of its own promise.
+        auto remove = [this, number] {
+            m_tasks->add(kj::evalLater([this, number] { m_connections.erase(number); }));
+        };
+        // then() keeps only a reference to a callable that isn't given as an rvalue.
+        m_tasks->add(connection.network->onDisconnect().then(
+            [remove] { remove(); }, [remove](kj::Exception&&) { remove(); }));
+        m_tasks->add(m_loop.timer().afterDelay(detail::toKj(openTimeout)).then([this, number] {
+            auto found = m_connections.find(number);
+            if (found != m_connections.end() && !found->second.isOpened) {
+                m_connections.erase(found);
+            }
+        }));
+    }
+
+    void taskFailed(kj::Exception&& e) override
+    {
+        LOG4CXX_WARN(logger("rpc"), "task failed: " << e.getDescription().cStr());
+    }
+
+    const std::string m_address;
+    const std::string m_token;
+    PeerHandler& m_handler;
+    detail::PeerWorkers m_workers;
+    std::atomic<bool> m_isStopped { false };
+    std::atomic<std::uint16_t> m_port { 0 };
+    std::uint64_t m_lastNumber = 0;
+    // The members below belong to the loop's thread.
+    kj::Own<kj::ConnectionReceiver> m_listener;
+    std::map<std::uint64_t, Connection> m_connections;
+    kj::Own<kj::TaskSet> m_tasks;
+    detail::RpcLoop m_loop;
+};
+
+PeerServer::PeerServer(const std::string& address, const std::string& token, PeerHandler& handler)
+    : m_impl(std::make_unique<Impl>(address, token, handler))
+{
+}
+
+PeerServer::~PeerServer() { stop(); }
+
+void PeerServer::start() { m_impl->start(); }
+
+void PeerServer::stop() { m_impl->stop(); }
+
+std::uint16_t PeerServer::port() const { return m_impl->port(); }
+
+} // namespace celeryline
