--- a/include/celeryline/RegistryRunner.h
+++ b/include/celeryline/RegistryRunner.h
@@ -4,30 +4,23 @@
 
 #include "celeryline/Clock.h"
 #include "celeryline/PeerTransport.h"
+#include "celeryline/PeriodicThread.h"
 #include "celeryline/UpstreamRegistry.h"
 
-#include <atomic>
-#include <functional>
 #include <string>
-#include <thread>
 #include <vector>
 
 namespace celeryline {
 
-/// Ends leases, sends changes to the peers of the data centre, fetches full copies, and hands events on.
+/// Ends leases, sends changes to the peers of the data centre, and fetches full copies from them.
 class RegistryRunner {
 public:
-    /// Takes what happened to upstreams. May block; gives back the events that could not be processed.
-    using EventSink = std::function<std::vector<RegistryChange>(const std::vector<RegistryChange>&)>;
-
     /// @param registry the soft state.
     /// @param peers the other entry instances of this data centre.
     /// @param transport calls to them.
     /// @param clock measures the leases.
-    /// @param sink takes the events.
     RegistryRunner(UpstreamRegistry& registry, std::vector<std::string> peers, PeerTransport& transport,
-        const Clock& clock, EventSink sink);
-    ~RegistryRunner();
+        const Clock& clock);
 
     /// Starts the threads.
     void start();
@@ -36,8 +29,6 @@
     void stop();
 
 private:
-    void runTicks();
-    void runCalls();
     void sendDeltas();
     void fetchCopies();
 
@@ -45,10 +36,8 @@
     std::vector<std::string> m_peers;
     PeerTransport& m_transport;
     const Clock& m_clock;
-    EventSink m_sink;
-    std::atomic<bool> m_isStopping { false };
-    std::thread m_ticker;
-    std::thread m_caller;
+    PeriodicThread m_ticks;
+    PeriodicThread m_copies; ///< A copy may block, and the leases must end in time all the same.
 };
 
 } // namespace celeryline
--- a/src/EntryInstance.cpp
+++ b/src/EntryInstance.cpp
@@ -1,33 +1,238 @@
 #include "celeryline/EntryInstance.h"
 
+#include "celeryline/AnnounceEndpoint.h"
+#include "celeryline/CallEndpoint.h"
+#include "celeryline/CallHandler.h"
+#include "celeryline/ClaimClient.h"
+#include "celeryline/ClaimLedger.h"
 #include "celeryline/Clock.h"
+#include "celeryline/DiskFileSystem.h"
 #include "celeryline/HttpServer.h"
+#include "celeryline/Instructions.h"
 #include "celeryline/Logging.h"
+#include "celeryline/MaintenanceController.h"
 #include "celeryline/Metrics.h"
+#include "celeryline/OperatorApi.h"
+#include "celeryline/PeerDispatch.h"
+#include "celeryline/PeerMonitor.h"
+#include "celeryline/PeerServer.h"
+#include "celeryline/PeriodicThread.h"
 #include "celeryline/ProbeEndpoint.h"
+#include "celeryline/RegistryRunner.h"
+#include "celeryline/ReplicatedLog.h"
+#include "celeryline/ReplicatedState.h"
+#include "celeryline/RoleGuard.h"
+#include "celeryline/Router.h"
+#include "celeryline/RpcTransport.h"
+#include "celeryline/SpanExporter.h"
+#include "celeryline/UpstreamObserver.h"
+#include "celeryline/UpstreamPool.h"
+#include "celeryline/UpstreamRegistry.h"
 
 #include <atomic>
+#include <thread>
 
 namespace celeryline {
 
-struct EntryInstance::Modules {
-    explicit Modules(const Settings& s)
-        : settings(s)
-        , probes(metrics, [this] { return reasonNotReady(); })
-        , http(s.httpListen, s.limits)
-    {
+namespace {
+
+/// Time between the announcement that this instance leaves and the end of its listener, in which callers and
+/// the balancer go elsewhere.
+constexpr Millis leaveTime { 1500 };
+
+constexpr Millis observeInterval { 50 };
+constexpr Millis idleCheckInterval { 1000 };
+
+std::vector<std::string> namesOf(const std::vector<PeerSettings>& peers)
+{
+    std::vector<std::string> names;
+    for (const auto& peer : peers) {
+        names.push_back(peer.name);
     }
+    return names;
+}
+
+std::vector<std::string> localPeers(const Settings& settings)
+{
+    std::vector<std::string> names;
+    for (const auto& peer : settings.peers) {
+        if (peer.dataCentre == settings.dataCentre) {
+            names.push_back(peer.name);
+        }
+    }
+    return names;
+}
+
+} // namespace
 
-    std::string reasonNotReady() const { return isDraining ? "shutting down" : ""; }
+/// The modules in the order of their dependencies; they are destroyed in the opposite order.
+struct EntryInstance::Modules {
+    explicit Modules(const Settings& s);
+
+    std::string reasonNotReady() const;
+    Heartbeat heartbeat() const;
+    std::vector<InForceEntry> inForce() const;
+    AnnounceReply replyTo(const Announcement& upstream, const std::vector<ReportedTask>& tasks);
+    std::set<std::string> reachableDataCentres() const;
+    void observe();
+    bool isPeerLive(const std::string& name) const { return monitor.peer(name).isLive; }
 
     Settings settings;
     SystemClock clock;
-    Metrics metrics;
+    std::uint64_t bootEpoch;
     std::atomic<bool> isDraining { false };
+    Metrics metrics;
+    SpanExporter spans;
+    ClaimLedger ledger;
+    ReplicatedState state;
+    DiskFileSystem files;
+    RpcTransport transport;
+    ReplicatedLog log;
+    UpstreamRegistry registry;
+    PeerMonitor monitor;
+    Instructions instructions;
+    UpstreamObserver observer;
+    MaintenanceController maintenance;
+    RegistryRunner registryRunner;
+    Router router;
+    UpstreamPool pool;
+    ClaimClient claims;
+    CallHandler calls;
+    CallEndpoint callEndpoint;
+    AnnounceEndpoint announcements;
+    OperatorApi operators;
+    RoleGuard callGuard;
+    RoleGuard upstreamGuard;
+    RoleGuard operatorGuard;
     ProbeEndpoint probes;
+    PeerDispatch dispatch;
+    PeerServer peerServer;
     HttpServer http;
+    std::atomic<std::int64_t> leaderHeardAt { 0 }; ///< Steady time at which there was a quorum last.
+    PeriodicThread observing;
+    PeriodicThread maintaining;
+    PeriodicThread closingIdle;
 };
 
+EntryInstance::Modules::Modules(const Settings& s)
+    : settings(s)
+    , bootEpoch(static_cast<std::uint64_t>(clock.wallTime().count))
+    , spans(s.tracing, s.name)
+    , ledger(s.ledger)
+    , state(ledger)
+    , transport({ s.name, readToken(s.security.peerTokenFile), s.peers })
+    , log(s, clock, files, &transport, state)
+    , registry({ s.name, bootEpoch, localPeers(s), s.leases.peerTimeout }, clock.now())
+    , monitor({ namesOf(s.peers), s.leases.peerHeartbeat, s.leases.peerTimeout }, transport, clock,
+          [this] { return heartbeat(); })
+    , instructions(state)
+    , observer({ s.name, s.dataCentre }, log, state, registry)
+    , maintenance(s.maintenance, log, state, [this] { return reachableDataCentres(); })
+    , registryRunner(registry, localPeers(s), transport, clock)
+    , router(s, bootEpoch, clock, state, registry, metrics,
+          [this](const auto& peer, const auto& request, Millis timeout) {
+              return transport.requestCredits(peer, request, timeout);
+          })
+    , pool(s.routing, static_cast<std::size_t>(s.limits.maxAnswerBytes), clock)
+    , claims(s.name, bootEpoch, static_cast<std::size_t>(s.ledger.maxAnswerBytes), log, clock, metrics)
+    , calls(s, router, pool, claims, clock, [this](const auto& name) { return isPeerLive(name); })
+    , callEndpoint(s, calls, clock, metrics)
+    , announcements({ s.name, s.dataCentre, s.leases.upstream }, registry, clock,
+          [this](const auto& upstream, const auto& tasks) { return replyTo(upstream, tasks); })
+    , operators({ s.name, s.dataCentre }, log, state, registry, clock, [this] { return inForce(); })
+    , callGuard("caller", readToken(s.security.callerTokenFile), callEndpoint)
+    , upstreamGuard("upstream", readToken(s.security.upstreamTokenFile), announcements)
+    , operatorGuard("operator", readToken(s.security.operatorTokenFile), operators)
+    , probes(metrics, [this] { return reasonNotReady(); })
+    , dispatch(log, registry, monitor, router, clock)
+    , peerServer(s.peerListen, readToken(s.security.peerTokenFile), dispatch)
+    , http(s.httpListen, s.limits)
+    , observing("observer", observeInterval, [this] { observe(); })
+    , maintaining("maintenance", s.maintenance.interval, [this] { maintenance.step(clock.now()); })
+    , closingIdle("calls", idleCheckInterval, [this] { pool.closeIdle(); })
+{
+    http.route("/healthz", probes);
+    http.route("/readyz", probes);
+    http.route("/metrics", probes);
+    http.route("/call", callGuard);
+    http.route("/v1/upstreams", upstreamGuard);
+    http.route("/v1", operatorGuard);
+}
+
+std::string EntryInstance::Modules::reasonNotReady() const
+{
+    if (isDraining) {
+        return "shutting down";
+    }
+    auto status = log.status();
+    if (!status.failure.empty()) {
+        return "replicated log: " + status.failure;
+    }
+    auto revision = state.fleet()->revision;
+    if (revision < monitor.highestRevision()) {
+        return "fleet revision " + std::to_string(revision) + " is older than the newest one of the peers";
+    }
+    if (status.lastIndex == 0) {
+        return "the replicated log has not been formed or received yet";
+    }
+    if (!registry.isComplete()) {
+        return "the upstreams that the peers manage are not known yet";
+    }
+    return "";
+}
+
+Heartbeat EntryInstance::Modules::heartbeat() const
+{
+    Heartbeat own;
+    own.name = settings.name;
+    own.dataCentre = settings.dataCentre;
+    own.bootEpoch = bootEpoch;
+    own.appliedRevision = state.fleet()->revision;
+    own.leader = log.status().leader;
+    own.deltaSequence = registry.sentSequence();
+    own.draining = isDraining;
+    return own;
+}
+
+AnnounceReply EntryInstance::Modules::replyTo(
+    const Announcement& upstream, const std::vector<ReportedTask>& tasks)
+{
+    observer.noteTasks(tasks);
+    bool isCurrent = clock.now().count - leaderHeardAt < settings.maintenance.permitLease.count;
+    return instructions.answer(upstream, tasks, isCurrent);
+}
+
+std::set<std::string> EntryInstance::Modules::reachableDataCentres() const
+{
+    std::set<std::string> reachable { settings.dataCentre };
+    for (const auto& peer : monitor.peers()) {
+        if (peer.isLive) {
+            reachable.insert(peer.heartbeat.dataCentre);
+        }
+    }
+    return reachable;
+}
+
+void EntryInstance::Modules::observe()
+{
+    Millis now = clock.now();
+    if (log.status().hasQuorum) {
+        leaderHeardAt = now.count;
+    }
+    observer.step(now, registry.isComplete());
+}
+
+std::vector<InForceEntry> EntryInstance::Modules::inForce() const
+{
+    std::vector<InForceEntry> entries;
+    entries.push_back({ settings.name, settings.dataCentre, state.fleet()->revision, true });
+    for (const auto& peer : monitor.peers()) {
+        entries.push_back(
+            { peer.heartbeat.name, peer.heartbeat.dataCentre, peer.heartbeat.appliedRevision, peer.isLive });
+    }
+    return entries;
+}
+
 EntryInstance::EntryInstance(const Settings& settings)
     : m_modules(std::make_unique<Modules>(settings))
 {
@@ -38,9 +243,14 @@
 void EntryInstance::start()
 {
     auto& m = *m_modules;
-    m.http.route("/healthz", m.probes);
-    m.http.route("/readyz", m.probes);
-    m.http.route("/metrics", m.probes);
+    m.log.start();
+    m.peerServer.start();
+    m.monitor.start();
+    m.registryRunner.start();
+    m.router.start();
+    m.observing.start();
+    m.maintaining.start();
+    m.closingIdle.start();
     m.http.start();
     LOG4CXX_INFO(logger("main"), "serving on " << m.settings.httpListen);
 }
@@ -49,7 +259,20 @@
 {
     auto& m = *m_modules;
     m.isDraining = true;
+    m.http.startDraining();
+    m.monitor.sendNow();
+    std::this_thread::sleep_for(leaveTime.toChrono());
     m.http.stop(m.settings.routing.maxDeadline);
+    m.claims.flush(m.settings.routing.maxDeadline);
+    m.closingIdle.stop();
+    m.maintaining.stop();
+    m.observing.stop();
+    m.registryRunner.stop();
+    m.router.stop();
+    m.log.stop();
+    m.monitor.stop();
+    m.peerServer.stop();
+    m.transport.stop();
     LOG4CXX_INFO(logger("main"), "stopped");
 }
 
--- a/src/RegistryRunner.cpp
+++ b/src/RegistryRunner.cpp
@@ -3,52 +3,41 @@
 #include "celeryline/Error.h"
 #include "celeryline/Logging.h"
 
-#include <chrono>
-
 namespace celeryline {
 
 namespace {
 
-constexpr std::chrono::milliseconds tickInterval { 20 };
-constexpr std::chrono::milliseconds callInterval { 50 };
+constexpr Millis tickInterval { 20 };
+constexpr Millis copyInterval { 50 };
 constexpr Millis copyTimeout { 1000 };
 
 } // namespace
 
-RegistryRunner::RegistryRunner(UpstreamRegistry& registry, std::vector<std::string> peers,
-    PeerTransport& transport, const Clock& clock, EventSink sink)
+RegistryRunner::RegistryRunner(
+    UpstreamRegistry& registry, std::vector<std::string> peers, PeerTransport& transport, const Clock& clock)
     : m_registry(registry)
     , m_peers(std::move(peers))
     , m_transport(transport)
     , m_clock(clock)
-    , m_sink(std::move(sink))
+    , m_ticks("registry", tickInterval,
+          [this] {
+              m_registry.tick(m_clock.now());
+              sendDeltas();
+          })
+    , m_copies("registry", copyInterval, [this] { fetchCopies(); })
 {
 }
 
-RegistryRunner::~RegistryRunner() { stop(); }
-
 void RegistryRunner::start()
 {
-    m_ticker = std::thread([this] { runTicks(); });
-    m_caller = std::thread([this] { runCalls(); });
+    m_ticks.start();
+    m_copies.start();
 }
 
 void RegistryRunner::stop()
 {
-    m_isStopping = true;
-    if (m_ticker.joinable()) {
-        m_ticker.join();
-        m_caller.join();
-    }
-}
-
-void RegistryRunner::runTicks()
-{
-    while (!m_isStopping) {
-        m_registry.tick(m_clock.now());
-        sendDeltas();
-        std::this_thread::sleep_for(tickInterval);
-    }
+    m_ticks.stop();
+    m_copies.stop();
     sendDeltas();
 }
 
@@ -62,18 +51,6 @@
     }
 }
 
-void RegistryRunner::runCalls()
-{
-    while (!m_isStopping) {
-        fetchCopies();
-        auto events = m_registry.takeEvents();
-        if (!events.empty()) {
-            m_registry.returnEvents(m_sink(events));
-        }
-        std::this_thread::sleep_for(callInterval);
-    }
-}
-
 void RegistryRunner::fetchCopies()
 {
     for (const auto& peer : m_registry.peersToCopy()) {
