--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -186,6 +186,9 @@
                 except subprocess.TimeoutExpired:
                     process.kill()
                     process.wait()
+        if self.links:
+            self.links.close()
+            self.links = None
 
     def __enter__(self):
         return self
--- a/scripts/lib/links.py
+++ b/scripts/lib/links.py
@@ -104,6 +104,17 @@
             for connection in list(link.connections):
                 connection.is_lost = True
 
+    def close(self):
+        """Ends all forwarding."""
+        async def cancel_all():
+            tasks = [t for t in asyncio.all_tasks() if t is not asyncio.current_task()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        asyncio.run_coroutine_threadsafe(cancel_all(), self.loop).result()
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+
     def set_delay(self, seconds):
         for link in self.links:
             link.delay = seconds
--- a/src/EntryInstance.cpp
+++ b/src/EntryInstance.cpp
@@ -43,20 +43,12 @@
 constexpr Millis observeInterval { 50 };
 constexpr Millis idleCheckInterval { 1000 };
 
-std::vector<std::string> namesOf(const std::vector<PeerSettings>& peers)
-{
-    std::vector<std::string> names;
-    for (const auto& peer : peers) {
-        names.push_back(peer.name);
-    }
-    return names;
-}
-
-std::vector<std::string> localPeers(const Settings& settings)
+/// @return the names of the other entry instances that are (or are not) in this data centre.
+std::vector<std::string> peersOf(const Settings& settings, bool inThisDataCentre)
 {
     std::vector<std::string> names;
     for (const auto& peer : settings.peers) {
-        if (peer.dataCentre == settings.dataCentre) {
+        if ((peer.dataCentre == settings.dataCentre) == inThisDataCentre) {
             names.push_back(peer.name);
         }
     }
@@ -122,13 +114,13 @@
     , state(ledger)
     , transport({ s.name, readToken(s.security.peerTokenFile), s.peers })
     , log(s, clock, files, &transport, state)
-    , registry({ s.name, bootEpoch, localPeers(s), s.leases.peerTimeout }, clock.now())
-    , monitor({ namesOf(s.peers), s.leases.peerHeartbeat, s.leases.peerTimeout }, transport, clock,
-          [this] { return heartbeat(); })
+    , registry({ s.name, bootEpoch, peersOf(s, true), s.leases.peerTimeout }, clock.now())
+    , monitor({ peersOf(s, true), peersOf(s, false), s.leases.peerHeartbeat, s.leases.peerTimeout },
+          transport, clock, [this] { return heartbeat(); })
     , instructions(state)
     , observer({ s.name, s.dataCentre }, log, state, registry)
     , maintenance(s.maintenance, log, state, [this] { return reachableDataCentres(); })
-    , registryRunner(registry, localPeers(s), transport, clock)
+    , registryRunner(registry, peersOf(s, true), transport, clock)
     , router(s, bootEpoch, clock, state, registry, metrics,
           [this](const auto& peer, const auto& request, Millis timeout) {
               return transport.requestCredits(peer, request, timeout);
--- a/src/RegistryRunner.cpp
+++ b/src/RegistryRunner.cpp
@@ -9,7 +9,8 @@
 
 constexpr Millis tickInterval { 20 };
 constexpr Millis copyInterval { 50 };
-constexpr Millis copyTimeout { 1000 };
+// Two lost copies in a row must not let an upstream that has left be offered for more than 2 s.
+constexpr Millis copyTimeout { 500 };
 
 } // namespace
 
