--- a/test/RaftCoreTest.cpp
+++ b/test/RaftCoreTest.cpp
@@ -163,6 +163,30 @@
     REQUIRE(simulation.runUntil([&] { return simulation.isConverged(committed); }));
 }
 
+// A replica that caught up partly after a loss must not stand in for the one that acknowledged more.
+TEST_CASE("Messages for a lost storage are neither voted on nor acknowledged", "[consensus]")
+{
+    auto core = coreWith({ a, b, c });
+    const ReplicaId lost { "a", "0" };
+    for (auto kind : { RaftMessageKind::PreVote, RaftMessageKind::Vote }) {
+        auto vote = messageTo(kind, c, lost, 5);
+        vote.logIndex = 9;
+        vote.logTerm = 4;
+        core.receive({ 2000 }, vote);
+    }
+    auto output = core.takeOutput();
+    CHECK(output.messages.empty());
+    CHECK(!output.term.has_value());
+    auto append = messageTo(RaftMessageKind::Append, b, lost, 2);
+    append.logIndex = 1;
+    append.logTerm = 1;
+    core.receive({ 2000 }, append);
+    output = core.takeOutput();
+    REQUIRE(output.messages.size() == 1);
+    CHECK(output.messages[0].rejected);
+    CHECK(output.messages[0].from == a);
+}
+
 // The disk of one instance after the other is lost, each as soon as the last one counts again.
 TEST_CASE("A second loss right after a repair loses nothing", "[consensus]")
 {
