Share unchanged objects between fleet revisions

Change: NamedMap, an ordered map in chunks whose copies share objects; reads as std::map. The ownership check and differences look only at what two revisions don't share, and pools are matched again only if a selector or the data centres of a pool changed.

--- a/bench/FleetApplyBench.cpp
+++ b/bench/FleetApplyBench.cpp
@@ -80,14 +80,29 @@
     Fleet fleet(static_cast<int>(run.range(0)), 36);
     FleetCommand apply;
     apply.pools = { fleet.state.fleet()->pools->at("p3") };
+    int value = 0;
     for (auto step : run) {
         (void)step;
-        apply.pools[0].spare = !apply.pools[0].spare;
+        auto unused = "unused" + std::to_string(++value);
+        apply.pools[0].selector = parseSelector("service=p3,!quarantined,!" + unused);
         benchmark::DoNotOptimize(fleet.run(apply));
     }
 }
 BENCHMARK(applySelector)->Arg(1500)->Unit(benchmark::kMicrosecond);
 
+void applyPoolField(benchmark::State& run)
+{
+    Fleet fleet(static_cast<int>(run.range(0)), 36);
+    FleetCommand apply;
+    apply.pools = { fleet.state.fleet()->pools->at("p3") };
+    for (auto step : run) {
+        (void)step;
+        apply.pools[0].spare = !apply.pools[0].spare;
+        benchmark::DoNotOptimize(fleet.run(apply));
+    }
+}
+BENCHMARK(applyPoolField)->Arg(1500)->Unit(benchmark::kMicrosecond);
+
 void takeSnapshot(benchmark::State& run)
 {
     Fleet fleet(static_cast<int>(run.range(0)), 36);
--- a/include/celeryline/FleetDraft.h
+++ b/include/celeryline/FleetDraft.h
@@ -19,7 +19,7 @@
     {
     }
 
-    const std::map<std::string, T>& read() const { return m_copy ? *m_copy : *m_base; }
+    const NamedMap<T>& read() const { return m_copy ? *m_copy : *m_base; }
 
     /// @return the object, or nullptr if there is none.
     const T* find(const std::string& name) const
@@ -28,10 +28,10 @@
         return it == read().end() ? nullptr : &it->second;
     }
 
-    std::map<std::string, T>& write()
+    NamedMap<T>& write()
     {
         if (!m_copy) {
-            m_copy = std::make_shared<std::map<std::string, T>>(*m_base);
+            m_copy = std::make_shared<NamedMap<T>>(*m_base);
         }
         return *m_copy;
     }
@@ -41,7 +41,7 @@
 
 private:
     ObjectMap<T> m_base;
-    std::shared_ptr<std::map<std::string, T>> m_copy;
+    std::shared_ptr<NamedMap<T>> m_copy;
 };
 
 /// The next fleet state while a command is being applied. Discarded if the command is refused.
@@ -60,6 +60,9 @@
     /// Writes an instance back and notes its change, unless it is as it was.
     void update(const Instance& instance);
 
+    /// Writes a wave back and notes its change.
+    void update(const Wave& wave);
+
     /// Writes a job back with the next revision.
     void update(Job job);
 
--- a/include/celeryline/PoolMembership.h
+++ b/include/celeryline/PoolMembership.h
@@ -12,7 +12,7 @@
 /// @param instance an instance; its labels and data centre decide.
 /// @return the name of the one pool whose selector matches; empty if none does.
 /// @throws Error of kind InvalidInput that names both pools and the instance if two match.
-std::string poolFor(const std::map<std::string, Pool>& pools, const Instance& instance);
+std::string poolFor(const NamedMap<Pool>& pools, const Instance& instance);
 
 /// Checks that exactly one pool owns each instance that a selector matches, and that an instance outside of
 /// its matching pool is on its way there.
@@ -42,8 +42,7 @@
 /// @param permits all permits.
 /// @param service a service.
 /// @return its budget over the guarded pools that carry it.
-ServiceBudget budgetOf(const std::map<std::string, Pool>& pools,
-    const std::map<std::string, Instance>& instances, const std::map<std::string, Permit>& permits,
-    const Service& service);
+ServiceBudget budgetOf(const NamedMap<Pool>& pools, const NamedMap<Instance>& instances,
+    const NamedMap<Permit>& permits, const Service& service);
 
 } // namespace celeryline
--- a/src/FleetCodec.cpp
+++ b/src/FleetCodec.cpp
@@ -62,27 +62,27 @@
 template <typename T>
 ObjectMap<T> mapFrom(const Object::Ptr& root, const std::string& section, T (*read)(JsonFields&))
 {
-    auto result = std::make_shared<std::map<std::string, T>>();
+    auto result = std::make_shared<NamedMap<T>>();
     auto objects = root->getObject(section);
     if (objects.isNull()) {
         throw Error(ErrorKind::Corrupt, "\"" + section + "\" is missing", "restore another snapshot");
     }
     for (const auto& [name, value] : *objects) {
         JsonFields fields(value.template extract<Object::Ptr>(), section + "." + name);
-        result->emplace_hint(result->end(), name, read(fields));
+        result->set(name, read(fields));
     }
     return result;
 }
 
 template <typename T> ObjectMap<T> scalarsFrom(const Object::Ptr& root, const std::string& section)
 {
-    auto result = std::make_shared<std::map<std::string, T>>();
+    auto result = std::make_shared<NamedMap<T>>();
     auto objects = root->getObject(section);
     if (objects.isNull()) {
         throw Error(ErrorKind::Corrupt, "\"" + section + "\" is missing", "restore another snapshot");
     }
     for (const auto& [name, value] : *objects) {
-        result->emplace_hint(result->end(), name, value.template convert<T>());
+        result->set(name, value.template convert<T>());
     }
     return result;
 }
--- a/src/FleetDifference.cpp
+++ b/src/FleetDifference.cpp
@@ -43,9 +43,6 @@
 template <typename T>
 void addChange(Array& list, const std::string& kind, const std::string& name, const T* before, const T* after)
 {
-    if (before && after && *before == *after) {
-        return;
-    }
     Object::Ptr change = new Object;
     change->set("kind", kind);
     change->set("name", name);
@@ -62,15 +59,8 @@
     if (before == after) {
         return;
     }
-    for (const auto& [name, object] : *after) {
-        auto old = before->find(name);
-        addChange(list, kind, name, old == before->end() ? nullptr : &old->second, &object);
-    }
-    for (const auto& [name, object] : *before) {
-        if (after->count(name) == 0) {
-            addChange<T>(list, kind, name, &object, nullptr);
-        }
-    }
+    after->forEachDifference(*before,
+        [&](const std::string& name, const T* from, const T* to) { addChange(list, kind, name, from, to); });
 }
 
 } // namespace
--- a/src/FleetDraft.cpp
+++ b/src/FleetDraft.cpp
@@ -21,8 +21,8 @@
 void FleetDraft::touch(const std::string& kind, const std::string& name)
 {
     const std::string key = kind + "/" + name;
-    objectRevisions.write()[key] = nextRevision();
-    objectCommands.write()[key] = commandId;
+    objectRevisions.write().set(key, nextRevision());
+    objectCommands.write().set(key, commandId);
 }
 
 void FleetDraft::update(const Instance& instance)
@@ -31,15 +31,21 @@
     if (before && *before == instance) {
         return;
     }
-    instances.write()[instance.name] = instance;
+    instances.write().set(instance.name, instance);
     touch("instance", instance.name);
 }
 
+void FleetDraft::update(const Wave& wave)
+{
+    waves.write().set(wave.name, wave);
+    touch("wave", wave.name);
+}
+
 void FleetDraft::update(Job job)
 {
     job.revision = nextRevision();
-    auto& slot = jobs.write()[job.id];
-    slot = std::move(job);
+    auto id = job.id;
+    jobs.write().set(id, std::move(job));
 }
 
 void FleetDraft::setPhase(Instance& instance, InstancePhase phase) const
--- a/src/FleetInstanceOperations.cpp
+++ b/src/FleetInstanceOperations.cpp
@@ -15,10 +15,10 @@
     if (!found || found->pending.count(name) == 0) {
         return;
     }
-    auto& wave = draft.waves.write()[permit->wave];
+    Wave wave = *found;
     wave.pending.erase(name);
     wave.completed.insert(name);
-    draft.touch("wave", wave.name);
+    draft.update(wave);
 }
 
 /// Lets an instance go on after its drain was taken back: serving, or still on its way to another pool.
@@ -233,8 +233,9 @@
         }
     }
     for (const auto& name : affected) {
-        draft.waves.write()[name].pending.erase(command.name);
-        draft.touch("wave", name);
+        Wave wave = draft.wave(name);
+        wave.pending.erase(command.name);
+        draft.update(wave);
     }
     draft.instances.write().erase(command.name);
     draft.touch("instance", command.name);
@@ -309,8 +310,8 @@
     draft.setPhase(instance, InstancePhase::Draining);
     draft.update(instance);
     // Without a wave and an end: an operator's drain lasts until the operator takes it back.
-    draft.permits.write()[command.name]
-        = { command.name, "", instance.dataCentre, draft.nextRevision(), Millis {} };
+    draft.permits.write().set(
+        command.name, Permit { command.name, "", instance.dataCentre, draft.nextRevision(), Millis {} });
     draft.touch("permit", command.name);
     return {};
 }
--- a/src/FleetObjectOperations.cpp
+++ b/src/FleetObjectOperations.cpp
@@ -18,7 +18,7 @@
     if (before && *before == object) {
         return false;
     }
-    objects.write()[name] = object;
+    objects.write().set(name, object);
     draft.touch(kind, name);
     return true;
 }
@@ -106,9 +106,11 @@
     }
     for (const auto& pool : command.pools) {
         refuseTwice(seen, "pool", pool.name);
+        const auto* before = draft.pools.find(pool.name);
+        selectorsChanged = selectorsChanged || !before || !(before->selector == pool.selector)
+            || before->dataCentres != pool.dataCentres;
         if (put(draft, draft.pools, "pool", pool.name, pool, command)) {
             changed.push_back("pool/" + pool.name);
-            selectorsChanged = true;
         }
     }
     for (const auto& quota : command.quotas) {
--- a/src/FleetWaveOperations.cpp
+++ b/src/FleetWaveOperations.cpp
@@ -106,8 +106,9 @@
         draft.setPhase(instance, InstancePhase::Draining);
     }
     draft.update(instance);
-    draft.permits.write()[request.instance] = { request.instance, request.wave, instance.dataCentre,
-        draft.nextRevision(), draft.now + request.lease };
+    draft.permits.write().set(request.instance,
+        Permit { request.instance, request.wave, instance.dataCentre, draft.nextRevision(),
+            draft.now + request.lease });
     draft.touch("permit", request.instance);
 }
 
@@ -153,8 +154,7 @@
     }
     OperationResult result = new Poco::JSON::Object;
     result->set("instances", wave.pending.size());
-    draft.waves.write()[wave.name] = wave;
-    draft.touch("wave", wave.name);
+    draft.update(wave);
     return result;
 }
 
@@ -167,8 +167,9 @@
     }
     auto state = command.operation == FleetOperation::PauseWave ? WaveState::Paused : WaveState::Running;
     if (wave.state != state) {
-        draft.waves.write()[command.name].state = state;
-        draft.touch("wave", command.name);
+        Wave changed = wave;
+        changed.state = state;
+        draft.update(changed);
     }
     return {};
 }
@@ -185,10 +186,10 @@
                 + " instances",
             "wait for them or abandon them");
     }
-    auto& changed = draft.waves.write()[command.name];
+    Wave changed = wave;
     changed.state = WaveState::Done;
     changed.ended = draft.now;
-    draft.touch("wave", command.name);
+    draft.update(changed);
     dropOldWaves(draft);
     return {};
 }
@@ -237,10 +238,10 @@
     const auto* permit = draft.permits.find(command.name);
     bool hasWavePermit = permit && permit->wave == command.wave;
     if (const auto* wave = draft.waves.find(command.wave); wave && wave->pending.count(command.name) != 0) {
-        auto& changed = draft.waves.write()[command.wave];
+        Wave changed = *wave;
         changed.pending.erase(command.name);
         changed.abandoned.insert(command.name);
-        draft.touch("wave", command.wave);
+        draft.update(changed);
     }
     if (hasWavePermit && instance.phase == InstancePhase::Rebooting) {
         endPermit(draft, command.name);
--- a/src/PoolMembership.cpp
+++ b/src/PoolMembership.cpp
@@ -22,6 +22,17 @@
         "stop this process and report the last log entry; its state can't be trusted");
 }
 
+/// @return whether the pools would own the same instances before and after.
+bool haveSameReach(const ObjectMap<Pool>& before, const ObjectMap<Pool>& after)
+{
+    bool isSame = true;
+    after->forEachDifference(*before, [&](const std::string&, const Pool* from, const Pool* to) {
+        isSame
+            = isSame && from && to && from->selector == to->selector && from->dataCentres == to->dataCentres;
+    });
+    return isSame;
+}
+
 void checkInstance(const FleetState& fleet, const Instance& instance)
 {
     const auto& pools = *fleet.pools;
@@ -47,7 +58,7 @@
 
 } // namespace
 
-std::string poolFor(const std::map<std::string, Pool>& pools, const Instance& instance)
+std::string poolFor(const NamedMap<Pool>& pools, const Instance& instance)
 {
     const std::string* found = nullptr;
     for (const auto& [name, pool] : pools) {
@@ -67,17 +78,20 @@
 
 void checkOwnership(const FleetState& fleet, const FleetState* before)
 {
-    bool samePools = before && before->pools == fleet.pools;
+    bool samePools = before && haveSameReach(before->pools, fleet.pools);
     if (samePools && before->instances == fleet.instances) {
         return;
     }
+    if (samePools) {
+        fleet.instances->forEachDifference(
+            *before->instances, [&](const std::string&, const Instance*, const Instance* instance) {
+                if (instance) {
+                    checkInstance(fleet, *instance);
+                }
+            });
+        return;
+    }
     for (const auto& [name, instance] : *fleet.instances) {
-        if (samePools) {
-            auto old = before->instances->find(name);
-            if (old != before->instances->end() && old->second == instance) {
-                continue;
-            }
-        }
         checkInstance(fleet, instance);
     }
 }
@@ -97,9 +111,8 @@
     return true;
 }
 
-ServiceBudget budgetOf(const std::map<std::string, Pool>& pools,
-    const std::map<std::string, Instance>& instances, const std::map<std::string, Permit>& permits,
-    const Service& service)
+ServiceBudget budgetOf(const NamedMap<Pool>& pools, const NamedMap<Instance>& instances,
+    const NamedMap<Permit>& permits, const Service& service)
 {
     ServiceBudget budget;
     for (const auto& [name, instance] : instances) {
--- a/test/CallKit.h
+++ b/test/CallKit.h
@@ -107,7 +107,7 @@
             services[name].name = name;
             services[name].spare = isSpare;
             services[name].selector.requirements = { { "service", SelectorOperator::In, { name } } };
-            state.services = std::make_shared<const std::map<std::string, Service>>(services);
+            state.services = std::make_shared<const NamedMap<Service>>(services);
         });
     }
 
@@ -116,7 +116,7 @@
         changeFleet([&](FleetState& state) {
             auto instances = *state.instances;
             instances[instance.name] = instance;
-            state.instances = std::make_shared<const std::map<std::string, Instance>>(instances);
+            state.instances = std::make_shared<const NamedMap<Instance>>(instances);
         });
     }
 
--- a/test/ReplicatedStateTest.cpp
+++ b/test/ReplicatedStateTest.cpp
@@ -295,7 +295,9 @@
     f.run(registerOf("w1", "a"));
     FleetState broken = *f.state.fleet();
     auto instances = *broken.instances;
-    instances["w1"].pool = "b";
-    broken.instances = std::make_shared<const std::map<std::string, Instance>>(instances);
+    auto instance = instances.at("w1");
+    instance.pool = "b";
+    instances.set("w1", instance);
+    broken.instances = std::make_shared<const NamedMap<Instance>>(instances);
     CHECK_THROWS_WITH(checkOwnership(broken, f.state.fleet().get()), Contains("invariant broken"));
 }
