--- /dev/null
+++ b/src/WorkerHealth.cpp
@@ -0,0 +1,103 @@
+#include "celeryline/WorkerHealth.h"
+
+#include "celeryline/Invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace celeryline {
+
+namespace {
+
+const double badFailureRate = 0.95; // A bad worker that still completes a job now and then is found too.
+const double usualFailureRate = 0.05; // Of a job that was never tried elsewhere.
+
+/// @return how likely the job fails on a good worker, from its tries elsewhere; the usual rate counts as one
+/// try.
+double failureRateOf(const JobAttempt& attempt)
+{
+    return (attempt.failedElsewhere + usualFailureRate)
+        / (attempt.failedElsewhere + attempt.succeededElsewhere + 1);
+}
+
+/// @return the probability that a worker with these jobs fails every job (Bayes' rule).
+double probabilityBad(const WorkerRecord& record, const HealthSettings& settings)
+{
+    double logOdds = std::log(settings.badWorkerShare / (1 - settings.badWorkerShare));
+    for (const auto& attempt : record.attempts) {
+        if (record.trust != WorkerTrust::Trusted || attempt.ended >= record.since) {
+            double rate = failureRateOf(attempt);
+            logOdds += attempt.failed ? std::log(badFailureRate / rate)
+                                      : std::log((1 - badFailureRate) / (1 - rate));
+        }
+    }
+    return 1 / (1 + std::exp(-logOdds));
+}
+
+HealthDecision judgeProbation(
+    const WorkerRecord& record, HealthDecision decision, const HealthSettings& settings)
+{
+    int succeeded = 0;
+    for (const auto& attempt : record.attempts) {
+        if (attempt.ended < record.since) {
+            continue;
+        }
+        if (attempt.failed && failureRateOf(attempt) < 0.5) {
+            decision.action = HealthAction::Quarantine;
+            decision.unchargedJobs = { attempt.job };
+            decision.reason = "job " + attempt.job + " failed during probation";
+            return decision;
+        }
+        succeeded += attempt.failed ? 0 : 1;
+    }
+    decision.reason = std::to_string(succeeded) + " of " + std::to_string(settings.probationJobs)
+        + " jobs succeeded during probation";
+    if (succeeded >= settings.probationJobs) {
+        decision.action = HealthAction::Release;
+    }
+    return decision;
+}
+
+} // namespace
+
+HealthDecision judgeWorker(const WorkerRecord& record, Millis now, const HealthSettings& settings)
+{
+    invariant(settings.badWorkerShare > 0 && settings.badWorkerShare < 1,
+        "the expected share of bad workers is between 0 and 1");
+    HealthDecision decision;
+    decision.badProbability = probabilityBad(record, settings);
+    auto percent = std::to_string(static_cast<int>(decision.badProbability * 100)) + "%";
+    if (record.trust == WorkerTrust::Probation) {
+        return judgeProbation(record, decision, settings);
+    }
+    if (record.trust == WorkerTrust::Quarantined) {
+        auto doublings = std::min(record.quarantines, 6); // At most about 11 hours with the defaults.
+        Millis duration { settings.quarantine.count << doublings };
+        bool over = now - record.since >= duration;
+        decision.action = over ? HealthAction::StartProbation : HealthAction::Keep;
+        decision.reason = over
+            ? "quarantine is over"
+            : "in quarantine for " + std::to_string((record.since + duration - now).count / 1000) + " s more";
+        return decision;
+    }
+    if (decision.badProbability < settings.quarantineProbability) {
+        decision.reason = "fails every job with a probability of " + percent;
+        return decision;
+    }
+    auto allowed = std::max(1, record.poolWorkers * settings.maxQuarantinedPercent / 100);
+    if (record.poolQuarantined >= allowed) {
+        decision.reason = "suspect (" + percent + "), but " + std::to_string(record.poolQuarantined)
+            + " workers of the pool are in quarantine already; look for a common cause";
+        return decision;
+    }
+    decision.action = HealthAction::Quarantine;
+    decision.reason = "fails every job with a probability of " + percent;
+    for (const auto& attempt : record.attempts) {
+        if (attempt.failed && attempt.ended >= record.since && failureRateOf(attempt) < 0.5) {
+            decision.unchargedJobs.push_back(attempt.job);
+        }
+    }
+    return decision;
+}
+
+} // namespace celeryline
