--- a/include/celeryline/Router.h
+++ b/include/celeryline/Router.h
@@ -126,6 +126,9 @@
     /// @return whether a held slot may still be used; false after this process was suspended.
     bool mayStart() const { return m_credits.isFresh(m_clock.now()); }
 
+    /// @return why requests can't be served yet; empty if they can.
+    std::string reasonNotReady() const { return m_credits.isNew() ? "waiting for slot credits" : ""; }
+
     /// Lends slots to another entry instance.
     CreditGrant onCreditRequest(const CreditRequest& request);
 
--- a/include/celeryline/SlotCredits.h
+++ b/include/celeryline/SlotCredits.h
@@ -57,6 +57,9 @@
     /// @param sent when the request was sent.
     void onReport(const std::string& peer, const CreditGrant& report, Millis sent);
 
+    /// @return whether this instance owns nothing yet.
+    bool isNew() const;
+
     /// Lends unused slots and takes back returned ones, or reports.
     /// @param now the time.
     /// @param request the request of another instance.
--- a/src/RunnerConnection.cpp
+++ b/src/RunnerConnection.cpp
@@ -22,6 +22,7 @@
 /// Sent bytes that stay unacknowledged for so long end the connection: a silent path is noticed even while
 /// a long answer is awaited without a try timeout.
 constexpr int userTimeoutMillis = 5000;
+constexpr Millis receiveSlice { 100 };
 constexpr int keepAliveIdleSeconds = 2;
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 3;
@@ -36,6 +37,7 @@
     m_socket.connect(Poco::Net::SocketAddress(address), Poco::Timespan(timeout.count * 1000));
     m_socket.setNoDelay(true);
     m_socket.setKeepAlive(true);
+    m_socket.setReceiveTimeout(Poco::Timespan(receiveSlice.count * 1000));
     m_socket.setOption(IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMillis);
     m_socket.setOption(IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
     m_socket.setOption(IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
@@ -139,7 +141,16 @@
     }
     bool hasFirstByte = false;
     while (parser.progress() != AnswerParser::Progress::Complete) {
-        const auto got = ::recv(m_fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
+        const auto until = hasFirstByte ? exchange.deadline : firstByteBy;
+        const auto left = until - m_clock.now();
+        // The socket's own timeout saves the call to poll() as long as its coarse slices do.
+        const bool isShort = left <= receiveSlice;
+        if (left.count <= 0 || (isShort && waitFor(POLLIN, until) == Wait::TimedOut)) {
+            result.timedOut = true;
+            result.fault = hasFirstByte ? "the answer was not whole in time" : "no answer in time";
+            return false;
+        }
+        const auto got = ::recv(m_fd, buffer.data(), buffer.size(), isShort ? MSG_DONTWAIT : 0);
         if (got > 0) {
             hasFirstByte = true;
             const auto size = static_cast<std::size_t>(got);
@@ -152,13 +163,7 @@
         } else if (got == 0) {
             result.fault = hasFirstByte ? "the answer ended early" : "the runner closed without an answer";
             return false;
-        } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-            if (waitFor(POLLIN, hasFirstByte ? exchange.deadline : firstByteBy) == Wait::TimedOut) {
-                result.timedOut = true;
-                result.fault = hasFirstByte ? "the answer was not whole in time" : "no answer in time";
-                return false;
-            }
-        } else if (errno != EINTR) {
+        } else if (errno != EINTR && errno != EAGAIN && errno != EWOULDBLOCK) {
             result.fault = "receiving failed: " + systemError(errno);
             return false;
         }
--- a/src/SlotCredits.cpp
+++ b/src/SlotCredits.cpp
@@ -147,6 +147,12 @@
     }
 }
 
+bool SlotCredits::isNew() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_share.isNew();
+}
+
 CreditGrant SlotCredits::report(const std::string& peer) const
 {
     const auto& live = m_share.live();
--- a/src/UpstreamPool.cpp
+++ b/src/UpstreamPool.cpp
@@ -130,7 +130,7 @@
         host.open -= host.idle.size();
         closed.swap(host.idle);
     }
-    if (result.end == ExchangeEnd::Answered && connection->isReusable() && connection->isQuiet()) {
+    if (result.end == ExchangeEnd::Answered && connection->isReusable()) {
         connection->lastUsed = m_clock.now();
         host.idle.push_back(std::move(connection));
     } else {
