Free the share of a data centre from abandoned instances

Cause: an instance that didn't come back kept its data centre's share of the budget until it was repaired, so the rest of the data centre waited. Change: abandoned instances count as failed instead of as planned stops. They still count against the budget.

--- a/src/WavePlan.cpp
+++ b/src/WavePlan.cpp
@@ -40,6 +40,23 @@
     ++availability.stoppedByDataCentre[dataCentre];
 }
 
+/// Instances that the wave has given up count as failed instead of as planned stops. They still count against
+/// the budget, but would otherwise hold their data centre's share until they are repaired.
+void releaseShares(const WaveInput& input, const std::vector<WaveStep>& abandons,
+    std::map<std::string, ServiceAvailability>& availability)
+{
+    auto abandoned = input.abandoned;
+    for (const auto& step : abandons) {
+        abandoned.insert(step.instance);
+    }
+    for (const auto& instance : input.fleet.instances) {
+        bool stopped = instance.phase != InstancePhase::Serving && instance.phase != InstancePhase::Failed;
+        if (stopped && abandoned.count(instance.name) > 0) {
+            --availability[budgetOf(instance)].stoppedByDataCentre[instance.dataCentre];
+        }
+    }
+}
+
 /// Sorts the pending instances into candidates, waits and abandons.
 /// @return the candidates, and whether an instance of the wave is in progress.
 std::pair<std::vector<Candidate>, bool> sortPending(
@@ -100,6 +117,7 @@
     WaveDecision decision;
     auto availability = availabilityOf(input.fleet, now);
     auto [candidates, inProgress] = sortPending(input, now, settings, decision);
+    releaseShares(input, decision.abandons, availability);
     std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
         return std::tie(b.downInRack, a.instance->rack, a.instance->dataCentre, a.instance->name)
             < std::tie(a.downInRack, b.instance->rack, b.instance->dataCentre, b.instance->name);
