Estimate processor by the median and memory by a high quantile

Cause: placement by the 90% quantile with headroom for both resources left 43% of the processor idle while jobs waited. Change: too little processor time only slows a job, so the median is taken without headroom; memory keeps the 90% quantile with 10%. Buckets are an eighth of a power of two instead of a quarter.

--- a/include/celeryline/SizeEstimator.h
+++ b/include/celeryline/SizeEstimator.h
@@ -11,7 +11,7 @@
 
 namespace celeryline {
 
-/// A decaying histogram of one resource, in steps of a quarter of a power of two.
+/// A decaying histogram of one resource, in steps of an eighth of a power of two.
 class UsageHistogram {
 public:
     /// @param amount the highest use of one job.
@@ -25,7 +25,7 @@
     int count() const { return m_count; }
 
 private:
-    static constexpr int bucketCount = 128; // 2^32 mCPU or MB.
+    static constexpr int bucketCount = 256; // 2^32 mCPU or MB.
     std::array<std::uint16_t, bucketCount> m_buckets {};
     int m_count = 0;
 };
@@ -34,9 +34,11 @@
 /// either direction, so a declaration counts only until enough jobs of the kind have ended.
 class SizeEstimator {
 public:
-    /// @param quantile share of a kind's jobs that the estimate covers.
-    /// @param headroom factor above the quantile, for growth between two reports.
-    explicit SizeEstimator(double quantile = 0.9, double headroom = 1.1);
+    /// @param memoryQuantile share of a kind's jobs that the estimate covers. Too little memory kills a job.
+    /// @param memoryHeadroom factor above the quantile, for growth between two reports.
+    /// @param cpuQuantile the same for processor time, which may be lower: too little of it only slows a job.
+    explicit SizeEstimator(
+        double memoryQuantile = 0.9, double memoryHeadroom = 1.1, double cpuQuantile = 0.5);
 
     /// @param team of the job.
     /// @param kind of the job.
@@ -62,8 +64,9 @@
     const Usage* find(const std::string& team, const std::string& kind) const;
 
     std::map<std::pair<std::string, std::string>, Usage> m_usage; ///< The empty team is all teams.
-    double m_quantile;
-    double m_headroom;
+    double m_memoryQuantile;
+    double m_memoryHeadroom;
+    double m_cpuQuantile;
 };
 
 } // namespace celeryline
--- a/src/SizeEstimator.cpp
+++ b/src/SizeEstimator.cpp
@@ -14,7 +14,7 @@
 
 void UsageHistogram::observe(std::int64_t amount)
 {
-    auto bucket = amount <= 1 ? 0 : static_cast<int>(std::ceil(4 * std::log2(static_cast<double>(amount))));
+    auto bucket = amount <= 1 ? 0 : static_cast<int>(std::ceil(8 * std::log2(static_cast<double>(amount))));
     ++m_buckets[static_cast<std::size_t>(std::min(bucket, bucketCount - 1))];
     if (++m_count >= decayObservations) {
         m_count = 0;
@@ -32,15 +32,16 @@
     for (std::size_t bucket = 0; bucket < m_buckets.size(); ++bucket) {
         seen += m_buckets[bucket];
         if (seen >= wanted) {
-            return static_cast<std::int64_t>(std::ceil(std::exp2(static_cast<double>(bucket) / 4)));
+            return static_cast<std::int64_t>(std::ceil(std::exp2(static_cast<double>(bucket) / 8)));
         }
     }
     return 0;
 }
 
-SizeEstimator::SizeEstimator(double quantile, double headroom)
-    : m_quantile(quantile)
-    , m_headroom(headroom)
+SizeEstimator::SizeEstimator(double memoryQuantile, double memoryHeadroom, double cpuQuantile)
+    : m_memoryQuantile(memoryQuantile)
+    , m_memoryHeadroom(memoryHeadroom)
+    , m_cpuQuantile(cpuQuantile)
 {
 }
 
@@ -76,11 +77,10 @@
     if (usage == nullptr) {
         return declared;
     }
-    auto withHeadroom = [&](const UsageHistogram& histogram) {
-        return static_cast<std::int64_t>(
-            std::ceil(static_cast<double>(histogram.quantile(m_quantile)) * m_headroom));
-    };
-    return { withHeadroom(usage->cpuMilli), withHeadroom(usage->memoryMb), declared.accelerators };
+    auto memory
+        = std::ceil(static_cast<double>(usage->memoryMb.quantile(m_memoryQuantile)) * m_memoryHeadroom);
+    return { usage->cpuMilli.quantile(m_cpuQuantile), static_cast<std::int64_t>(memory),
+        declared.accelerators };
 }
 
 } // namespace celeryline
