--- a/test/RouterTest.cpp
+++ b/test/RouterTest.cpp
@@ -63,7 +63,7 @@
     CHECK(kit.acquire("intake").refusal == SlotRefusal::NoRunner);
 }
 
-TEST_CASE("A request that can't meet its deadline is refused at once", "[router]")
+TEST_CASE("The router refuses a request that can't meet its deadline at once", "[router]")
 {
     FakeFleet fleet;
     fleet.addRunner("r1", "127.0.0.1:1", 1);
--- a/test/process_faults.py
+++ b/test/process_faults.py
@@ -102,6 +102,10 @@
     return {n: fleet.status(n).get("revision", -1) for n in fleet.instances}
 
 
+def is_voter(status, name):
+    return any(r["name"] == name and r["voter"] for r in status.get("replicas", []))
+
+
 def kill_entry_instance(s):
     """kill | request path | an entry instance is killed under load and started again"""
     s.start()
@@ -159,8 +163,7 @@
         s.fleet.lose_disk(name)
         s.fleet.start_instance(name)
         s.fleet.wait_ready([name])
-        took = wait_until(lambda: all(r.get("isVoter") for r in s.fleet.status(s.leader()).get("replicas", [{}])
-                                      if r["name"] == name), 10, f"{name} votes again")
+        took = wait_until(lambda name=name: is_voter(s.fleet.status(s.leader()), name), 10, f"{name} votes again")
         s.note(f"{name} is a voter again {took:.2f} s after it was ready")
     s.time_to_write([s.fleet.address("homestead-1")])
     wait_until(lambda: len(set(revisions(s.fleet).values())) == 1, 10, "all at one revision")
