Build the call path benchmark with the shared object maps

Cause: the benchmark assigned a std::map where the fleet state now keeps a NamedMap. Change: convert it. Conclusion: the benchmark binary builds again.

--- a/bench/CallPathBench.cpp
+++ b/bench/CallPathBench.cpp
@@ -44,7 +44,7 @@
         auto services = std::make_shared<std::map<std::string, Service>>();
         (*services)["intake"].name = "intake";
         (*services)["intake"].selector = parseSelector("service=intake");
-        m_fleet->services = services;
+        m_fleet->services = std::make_shared<const NamedMap<Service>>(*services);
         m_upstreams->liveInstances = { "a" };
         for (const auto& address : addresses) {
             Announcement runner;
