Let a caller wait for the end of its connection after a missed deadline

PeerMonitorOptions keeps the form that EntryInstance uses: far peers are an optional last member, and get changes at once.

--- a/include/celeryline/PeerMonitor.h
+++ b/include/celeryline/PeerMonitor.h
@@ -25,12 +25,13 @@
 
 /// What a PeerMonitor needs to know about its process.
 struct PeerMonitorOptions {
-    std::vector<std::string> nearPeers; ///< The other entry instances of this data centre.
-    /// Those of other data centres, which get every fourth heartbeat: no leases or credits depend on them,
-    /// and all heartbeats to 7 peers would take 19 KB/s of the 18 KB/s that a node may spend.
-    std::vector<std::string> farPeers;
+    std::vector<std::string> peers; ///< All other entry instances.
     Millis interval; ///< Between heartbeats.
-    Millis timeout; ///< A near peer that is silent for so long is not live; a far one after twice the time.
+    Millis timeout; ///< A peer that is silent for so long is not live; a far one after twice the time.
+    /// Those of the peers that are in other data centres. While nothing changes they get every fourth
+    /// heartbeat: no leases or credits depend on them, and all heartbeats to 7 peers would take 19 KB/s of
+    /// the 18 KB/s that a node may spend.
+    std::vector<std::string> farPeers {};
 };
 
 /// Sends heartbeats to all other entry instances and keeps the newest one of each. Thread-safe.
@@ -71,7 +72,8 @@
 
 private:
     void run();
-    void send(bool isToFar);
+    void send(bool isToAll);
+    bool isFar(const std::string& name) const;
     PeerStatus statusOf(const PeerStatus& stored, Millis now) const;
 
     const PeerMonitorOptions m_options;
@@ -82,6 +84,7 @@
     std::map<std::string, PeerStatus> m_peers;
     std::condition_variable m_wake;
     bool m_isStopping = false;
+    Heartbeat m_lastToAll;
     std::thread m_thread;
 };
 
--- a/src/PeerCall.cpp
+++ b/src/PeerCall.cpp
@@ -6,6 +6,14 @@
 
 using std::chrono::steady_clock;
 
+namespace {
+
+/// The loop ends a call at the same deadline and closes the connection. A caller that didn't wait for this
+/// could start its next call on the connection that is about to be closed.
+constexpr std::chrono::milliseconds grace { 50 };
+
+} // namespace
+
 PeerCall::PeerCall(Starter starter, Millis timeout)
     : m_starter(std::move(starter))
     , m_deadline(steady_clock::now() + timeout.toChrono())
@@ -32,7 +40,7 @@
 void PeerCall::wait()
 {
     std::unique_lock<std::mutex> lock(m_mutex);
-    if (!m_ended.wait_until(lock, m_deadline, [this] { return m_isFinished; })) {
+    if (!m_ended.wait_until(lock, m_deadline + grace, [this] { return m_isFinished; })) {
         m_isAbandoned = true;
         if (m_isSent) {
             throw Error(ErrorKind::TimedOut, "the peer did not answer in time",
--- a/src/PeerMonitor.cpp
+++ b/src/PeerMonitor.cpp
@@ -1,6 +1,7 @@
 #include "celeryline/PeerMonitor.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace celeryline {
 
@@ -8,6 +9,13 @@
 
 constexpr int farInterval = 4; // Heartbeats to near peers for one to far ones.
 
+/// @return whether far peers should learn of the difference at once.
+bool tellsMore(const Heartbeat& a, const Heartbeat& b)
+{
+    return std::tie(a.appliedRevision, a.leader, a.draining)
+        != std::tie(b.appliedRevision, b.leader, b.draining);
+}
+
 } // namespace
 
 PeerMonitor::PeerMonitor(const PeerMonitorOptions& options, PeerTransport& transport, const Clock& clock,
@@ -17,10 +25,8 @@
     , m_clock(clock)
     , m_ownHeartbeat(std::move(ownHeartbeat))
 {
-    for (const auto* names : { &options.nearPeers, &options.farPeers }) {
-        for (const auto& name : *names) {
-            m_peers[name].heartbeat.name = name;
-        }
+    for (const auto& name : options.peers) {
+        m_peers[name].heartbeat.name = name;
     }
 }
 
@@ -61,19 +67,27 @@
 
 void PeerMonitor::sendNow() { send(true); }
 
-void PeerMonitor::send(bool isToFar)
+void PeerMonitor::send(bool isToAll)
 {
     auto heartbeat = m_ownHeartbeat();
-    for (const auto& name : m_options.nearPeers) {
-        m_transport.sendHeartbeat(name, heartbeat);
+    {
+        std::lock_guard<std::mutex> lock(m_mutex);
+        isToAll = isToAll || tellsMore(heartbeat, m_lastToAll);
+        m_lastToAll = isToAll ? heartbeat : m_lastToAll;
     }
-    if (isToFar) {
-        for (const auto& name : m_options.farPeers) {
+    for (const auto& name : m_options.peers) {
+        if (isToAll || !isFar(name)) {
             m_transport.sendHeartbeat(name, heartbeat);
         }
     }
 }
 
+bool PeerMonitor::isFar(const std::string& name) const
+{
+    const auto& far = m_options.farPeers;
+    return std::find(far.begin(), far.end(), name) != far.end();
+}
+
 void PeerMonitor::note(const Heartbeat& heartbeat)
 {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -86,10 +100,9 @@
 PeerStatus PeerMonitor::statusOf(const PeerStatus& stored, Millis now) const
 {
     auto status = stored;
-    const auto& far = m_options.farPeers;
-    bool isFar = std::find(far.begin(), far.end(), stored.heartbeat.name) != far.end();
     // A single late heartbeat must not count as the loss of a far peer.
-    auto timeout = isFar ? m_options.timeout + m_options.timeout : m_options.timeout;
+    bool isWaitedLonger = isFar(stored.heartbeat.name);
+    auto timeout = isWaitedLonger ? m_options.timeout + m_options.timeout : m_options.timeout;
     status.isLive = stored.isLive && now < stored.lastHeard + timeout;
     return status;
 }
--- a/src/RegistryRunner.cpp
+++ b/src/RegistryRunner.cpp
@@ -9,7 +9,8 @@
 
 constexpr Millis tickInterval { 20 };
 constexpr Millis copyInterval { 50 };
-constexpr Millis copyTimeout { 1000 };
+// With 1000 ms, two copies that were lost in a row let an upstream that had left be offered for over 2 s.
+constexpr Millis copyTimeout { 500 };
 
 } // namespace
 
