--- a/src/EntryInstance.cpp
+++ b/src/EntryInstance.cpp
@@ -43,6 +43,15 @@
 constexpr Millis observeInterval { 50 };
 constexpr Millis idleCheckInterval { 1000 };
 
+std::vector<std::string> peerNames(const Settings& settings)
+{
+    std::vector<std::string> names;
+    for (const auto& peer : settings.peers) {
+        names.push_back(peer.name);
+    }
+    return names;
+}
+
 /// @return the names of the other entry instances that are (or are not) in this data centre.
 std::vector<std::string> peersOf(const Settings& settings, bool inThisDataCentre)
 {
@@ -115,8 +124,8 @@
     , transport({ s.name, readToken(s.security.peerTokenFile), s.peers })
     , log(s, clock, files, &transport, state)
     , registry({ s.name, bootEpoch, peersOf(s, true), s.leases.peerTimeout }, clock.now())
-    , monitor({ peersOf(s, true), peersOf(s, false), s.leases.peerHeartbeat, s.leases.peerTimeout },
-          transport, clock, [this] { return heartbeat(); })
+    , monitor({ peerNames(s), s.leases.peerHeartbeat, s.leases.peerTimeout, peersOf(s, false) }, transport,
+          clock, [this] { return heartbeat(); })
     , instructions(state)
     , observer({ s.name, s.dataCentre }, log, state, registry)
     , maintenance(s.maintenance, log, state, [this] { return reachableDataCentres(); })
--- a/src/RegistryRunner.cpp
+++ b/src/RegistryRunner.cpp
@@ -9,7 +9,7 @@
 
 constexpr Millis tickInterval { 20 };
 constexpr Millis copyInterval { 50 };
-// Two lost copies in a row must not let an upstream that has left be offered for more than 2 s.
+// With 1000 ms, two copies that were lost in a row let an upstream that had left be offered for over 2 s.
 constexpr Millis copyTimeout { 500 };
 
 } // namespace
