Count only urgent jobs against the quota of an urgent job

Cause: a team whose batch jobs filled its quota could not throttle batch jobs for its urgent ones, which then waited for free capacity. Change: an urgent job may throttle batch jobs while its team's urgent jobs alone are within the quota. At 48 workers the worst seed still has urgent jobs that wait for memory.

--- a/bench/JobScenario.cpp
+++ b/bench/JobScenario.cpp
@@ -166,6 +166,7 @@
             if (held.id == fake.job.id) {
                 auto& team = m_teams[fake.job.team];
                 team.used = minus(team.used, held.size);
+                team.urgentUsed = held.urgent ? minus(team.urgentUsed, held.size) : team.urgentUsed;
                 break;
             }
         }
@@ -252,6 +253,9 @@
         m_index.place(begun.worker, begun.held);
         auto& team = m_teams[m_jobs[static_cast<std::size_t>(number)].job.team];
         team.used = detail::add(team.used, begun.held.size);
+        if (begun.held.urgent) {
+            team.urgentUsed = detail::add(team.urgentUsed, begun.held.size);
+        }
         start(number, std::stoi(begun.worker.substr(1)), begun.held.fence);
         m_fence = std::max(m_fence, begun.held.fence + 1);
         for (const auto& instruction : instructions) {
--- a/include/celeryline/JobPlacement.h
+++ b/include/celeryline/JobPlacement.h
@@ -15,8 +15,9 @@
 
 /// What a team may use, and uses, at once.
 struct TeamShare {
-    Resources limit; ///< From its Quota; a team without one only borrows.
-    Resources used; ///< Estimated sizes of its placed and running jobs.
+    Resources limit {}; ///< From its Quota; a team without one only borrows.
+    Resources used {}; ///< Estimated sizes of its placed and running jobs.
+    Resources urgentUsed {}; ///< The urgent ones among them.
 };
 
 /// Teams by name.
@@ -65,8 +66,9 @@
 };
 
 /// Finds a worker for an urgent job. It takes free capacity first. Without any, it takes processor time from
-/// batch jobs by throttling them, which has an effect at once, and doesn't wait for them to end. Beyond its
-/// team's quota it only takes free capacity.
+/// batch jobs by throttling them, which has an effect at once, and doesn't wait for them to end. Its team's
+/// batch jobs don't stand in its way, but once the team's urgent jobs alone fill its quota, it only takes
+/// free capacity.
 /// @param job the job.
 /// @param capacity all workers.
 /// @param sizes learnt sizes.
--- a/src/JobPlacement.cpp
+++ b/src/JobPlacement.cpp
@@ -30,6 +30,11 @@
     return detail::fits(detail::add(team.used, size), team.limit);
 }
 
+bool isWithinUrgentQuota(const TeamShare& team, const Resources& size)
+{
+    return detail::fits(detail::add(team.urgentUsed, size), team.limit);
+}
+
 std::string describe(const Resources& size)
 {
     return std::to_string(size.cpuMilli) + " mCPU, " + std::to_string(size.memoryMb) + " MB, "
@@ -121,10 +126,14 @@
 {
     invariant(m_settled.insert(start.job).second, "a job is placed only once in a round");
     auto& share = m_teams[team];
-    invariant(start.held.borrowed || isWithinQuota(share, start.held.size),
-        "a job beyond its team's quota is placed only as borrowed");
+    bool within = start.held.urgent ? isWithinUrgentQuota(share, start.held.size)
+                                    : isWithinQuota(share, start.held.size);
+    invariant(start.held.borrowed || within, "a job beyond its team's quota is placed only as borrowed");
     m_capacity.place(start.worker, start.held);
     share.used = detail::add(share.used, start.held.size);
+    if (start.held.urgent) {
+        share.urgentUsed = detail::add(share.urgentUsed, start.held.size);
+    }
     decision.starts.push_back(start);
     ++m_nextFence;
 }
@@ -225,7 +234,7 @@
         return decision;
     }
     auto team = teams.find(job.team);
-    bool within = team != teams.end() && isWithinQuota(team->second, size);
+    bool within = team != teams.end() && isWithinUrgentQuota(team->second, size);
     HeldJob held { job.id, fence, size, true, job.repeatable, !within, job.team + "/" + job.kind };
     if (auto worker = capacity.find(job.pool, job.selector, size, held.spreadKey)) {
         decision.reason = "free capacity";
@@ -233,7 +242,7 @@
         return decision;
     }
     if (!within) {
-        decision.reason = "no free worker, and the quota of team \"" + job.team + "\" is used";
+        decision.reason = "no free worker, and urgent jobs of team \"" + job.team + "\" use its quota";
         return decision;
     }
     auto worker = capacity.findThrottled(job.pool, job.selector, size);
