--- a/test/CallEndpointTest.cpp
+++ b/test/CallEndpointTest.cpp
@@ -13,7 +13,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     for (int i = 0; i < 3; ++i) {
         const auto body = "body " + std::to_string(i);
@@ -34,7 +34,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     Instance entry;
     entry.name = "r1";
@@ -59,7 +59,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     for (const std::string fields : { "Celeryline-Deadline-Ms: 0\r\n", "Celeryline-Deadline-Ms: 60001\r\n",
              "Celeryline-Deadline-Ms: 1e3\r\n", "Idempotency-Key: a b\r\n", "Idempotency-Key: \r\n",
              "Celeryline-Hops: 2\r\n", "Celeryline-Repeatable: yes\r\n",
@@ -79,7 +79,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     SECTION("single bytes don't extend the receive timeout")
     {
         for (const bool isChunked : { false, true }) {
@@ -130,7 +130,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     for (int i = 0; i < 2; ++i) {
         client.send("POST /call/intake/x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/test/CallHandlerTest.cpp
+++ b/test/CallHandlerTest.cpp
@@ -44,6 +44,7 @@
     const auto once = client.call("POST", "/call/intake/x", "once", "Celeryline-Deadline-Ms: 250\r\n");
     CHECK(once.status == (isSilent ? 504 : 502));
     CHECK(once.field("Celeryline-Outcome") == "unknown");
+    CHECK(bad.requests().size() == 1);
     // Under another name the bad runner is not avoided yet.
     fleet.changeUpstreams([](UpstreamSnapshot& view) { view.upstreams[0].name = "bad again"; });
     fleet.addRunner("good", good.address());
@@ -63,7 +64,7 @@
     fleet.addRunner("bad", closedAddress());
     fleet.addRunner("good", good.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     for (int i = 0; i < 6; ++i) {
         CHECK(client.call("POST", "/call/intake/x", "x").status == 200);
@@ -79,7 +80,7 @@
     fleet.addRunner("r1", first.address());
     fleet.addRunner("r2", second.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     constexpr std::size_t requests = 100;
     for (std::size_t i = 0; i < requests; ++i) {
@@ -125,7 +126,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     CHECK(client.call("GET", "/call/intake/x").body == body);
     isCut = true;
@@ -143,7 +144,7 @@
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
     FakeStore store;
-    CallInstance instance(fleet, store);
+    CallInstance instance(fleet, store, callSettings(), false);
     TestClient client(instance.address());
     CHECK(client.call("HEAD", "/call/intake/x").field("Content-Length") == "7");
     CHECK(client.call("GET", "/call/intake/x").status == 204);
@@ -178,7 +179,10 @@
     }
     CHECK(runner.requests().size() == 2);
     // A forwarded request is not forwarded again.
+    auto& tries = instance.router.find("intake").queue->tries;
+    const auto before = tries.Value();
     CHECK(client.call("POST", "/call/intake/x", "b", "Celeryline-Hops: 1\r\n").status == 503);
+    CHECK(tries.Value() == before);
     farFleet.changeUpstreams([](UpstreamSnapshot& view) { view.upstreams.clear(); });
     const auto refused = client.call("POST", "/call/intake/x", "b", "Idempotency-Key: k2\r\n");
     CHECK(refused.status == 503);
--- a/test/CallKit.h
+++ b/test/CallKit.h
@@ -155,6 +155,7 @@
 
 /// The request path of one entry instance behind its HTTP listener.
 struct CallInstance {
+    /// @param waits whether to wait for slot credits; otherwise the first request waits for them.
     CallInstance(FakeFleet& fleet, Store& store, const Settings& s = callSettings(), bool waits = true)
         : settings(s)
         , pool(s.routing, static_cast<std::size_t>(s.limits.maxAnswerBytes), clock)
@@ -167,9 +168,9 @@
         router.start();
         server.route("/call/", endpoint);
         server.start();
-        // Credits may be used once every instance has noticed that this one is live.
-        std::this_thread::sleep_for(
-            waits ? (s.leases.peerTimeout + Millis { 40 }).toChrono() : std::chrono::milliseconds());
+        while (waits && !router.reasonNotReady().empty()) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+        }
     }
 
     ~CallInstance() { server.stop(Millis { 2000 }); }
--- a/test/ClaimFlowTest.cpp
+++ b/test/ClaimFlowTest.cpp
@@ -32,6 +32,9 @@
         otherFleet.changeUpstreams([](UpstreamSnapshot& view) { view.liveInstances = { "b" }; });
         fleet.addRunner("r1", runner.address());
         otherFleet.addRunner("r1", runner.address());
+        while (!a.router.reasonNotReady().empty() || !b.router.reasonNotReady().empty()) {
+            pause(5);
+        }
     }
 
     ~Pair()
@@ -64,7 +67,7 @@
     FakeFleet otherFleet;
     FakeStore store;
     CallInstance a { fleet, store, callSettings(), false };
-    CallInstance b { otherFleet, store, callSettings("b") };
+    CallInstance b { otherFleet, store, callSettings("b"), false };
 };
 
 bool isCommand(const Command& command, const std::string& start)
