--- a/test/kit/LoadCommand.cpp
+++ b/test/kit/LoadCommand.cpp
@@ -8,6 +8,7 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
 #include <Poco/StreamCopier.h>
 
 #include <algorithm>
@@ -107,11 +108,8 @@
 
     std::string sendOnce(const std::string& id, const std::string& key)
     {
-        if (!m_session) {
-            const auto& entry = m_plan.entries[m_nextEntry++ % m_plan.entries.size()];
-            m_session = std::make_unique<Poco::Net::HTTPClientSession>(Poco::Net::SocketAddress(entry));
-            m_session->setKeepAlive(true);
-            m_session->setTimeout(Poco::Timespan(70, 0));
+        if (!m_session && !connect()) {
+            return "no-entry-instance";
         }
         try {
             return exchange(id, key);
@@ -121,6 +119,25 @@
         }
     }
 
+    /// Connects to the next entry instance that accepts, as the platform's balancer does.
+    bool connect()
+    {
+        for (std::size_t tries = 0; tries < m_plan.entries.size(); ++tries) {
+            const auto& entry = m_plan.entries[m_nextEntry++ % m_plan.entries.size()];
+            try {
+                Poco::Net::StreamSocket socket { Poco::Net::SocketAddress(entry) };
+                socket.setNoDelay(true);
+                m_session = std::make_unique<Poco::Net::HTTPClientSession>(socket);
+                m_session->setKeepAlive(true);
+                m_session->setTimeout(Poco::Timespan(70, 0));
+                return true;
+            } catch (const Poco::Exception&) {
+                continue; // It refuses connections, so nothing was sent.
+            }
+        }
+        return false;
+    }
+
     std::string exchange(const std::string& id, const std::string& key)
     {
         // The same key must carry the same body, so the body is made from the key where there is one.
@@ -142,6 +159,9 @@
         Poco::Net::HTTPResponse response;
         std::string answer;
         Poco::StreamCopier::copyToString(m_session->receiveResponse(response), answer);
+        if (!response.getKeepAlive()) {
+            m_session.reset();
+        }
         std::string outcome = response.get("Celeryline-Outcome", "direct");
         bool isDone = outcome == "done" || outcome == "direct";
         if (!isDone) {
