--- a/include/celeryline/ClaimLedger.h
+++ b/include/celeryline/ClaimLedger.h
@@ -5,7 +5,6 @@
 #include "celeryline/Command.h"
 #include "celeryline/CommandResult.h"
 #include "celeryline/LedgerApply.h"
-#include "celeryline/LedgerApply.h"
 #include "celeryline/Settings.h"
 
 #include <Poco/JSON/Object.h>
