Test the formation of a log and the founder's return without its disk

A founder with an empty disk must neither form a log while another voter can't be asked nor replace the one that exists; it joins as a learner and counts again only after its new storage is in the configuration.

--- a/test/ReplicatedLogTest.cpp
+++ b/test/ReplicatedLogTest.cpp
@@ -42,19 +42,13 @@
 /// Three voters a, b, c and a learner d without a disk.
 class Cluster {
 public:
-    Cluster()
+    /// @param absent an instance that can't be reached at first; empty for none.
+    explicit Cluster(const std::string& absent = "")
     {
-        for (const auto* name : { "a", "b", "c", "d" }) {
-            auto settings = settingsOf(name, std::string(name) == "d" ? "" : "data");
-            settings.voters = { "a", "b", "c" };
-            for (const auto* other : { "a", "b", "c", "d" }) {
-                if (std::string(other) != name)
-                    settings.peers.push_back({ other, "dc1", "", "" });
-            }
-            settings.consensus.snapshotEntries = 50;
-            members[name] = std::make_unique<Member>(network, settings);
-            network.add(name, members[name]->log);
-        }
+        if (!absent.empty())
+            network.cutOff(absent);
+        for (const auto* name : { "a", "b", "c", "d" })
+            add(name);
         for (auto& [name, member] : members)
             member->log.start();
     }
@@ -68,6 +62,37 @@
     Cluster(const Cluster&) = delete;
     Cluster& operator=(const Cluster&) = delete;
 
+    /// Adds an instance with an empty disk.
+    void add(const std::string& name)
+    {
+        auto settings = settingsOf(name, name == "d" ? "" : "data");
+        settings.voters = { "a", "b", "c" };
+        for (const auto* other : { "a", "b", "c", "d" }) {
+            if (other != name)
+                settings.peers.push_back({ other, "dc1", "", "" });
+        }
+        settings.consensus.snapshotEntries = 50;
+        members[name] = std::make_unique<Member>(network, settings);
+        network.add(name, members[name]->log);
+    }
+
+    /// Replaces an instance by one with an empty disk.
+    void replace(const std::string& name)
+    {
+        members.at(name)->log.stop();
+        network.remove(name);
+        add(name);
+        members.at(name)->log.start();
+    }
+
+    /// Waits until a condition holds.
+    template <typename Condition> static bool eventually(Condition condition)
+    {
+        for (int i = 0; i < 500 && !condition(); ++i)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return condition();
+    }
+
     ReplicatedLog& operator[](const std::string& name) { return members.at(name)->log; }
 
     CommandResult submit(const std::string& name, const std::string& id, Millis timeout = { 5000 })
@@ -77,15 +102,16 @@
 
     std::string leader()
     {
-        for (int i = 0; i < 500; ++i) {
+        std::string found;
+        eventually([&] {
             for (auto& [name, member] : members) {
                 auto status = member->log.status();
                 if (status.role == ConsensusRole::Leader && status.hasQuorum)
-                    return name;
+                    found = name;
             }
-            std::this_thread::sleep_for(std::chrono::milliseconds(10));
-        }
-        return "";
+            return !found.empty();
+        });
+        return found;
     }
 
     celeryline::test::LocalNetwork network;
@@ -140,6 +166,37 @@
     CHECK(cluster["a"].status().voters == std::vector<std::string> { "a", "b", "c" });
 }
 
+// An absent voter may hold the log that the others have lost.
+TEST_CASE("No log is formed while a voter can't be asked", "[consensus]")
+{
+    Cluster cluster("c");
+    CHECK_THROWS_AS(cluster.submit("a", "early", { 700 }), Error);
+    CHECK(cluster["a"].status().lastIndex == 0);
+    CHECK(cluster["b"].status().lastIndex == 0);
+    cluster.network.reconnect("c");
+    CHECK(cluster.submit("a", "first").body == "1");
+}
+
+// Were it to form a new log, the commands of the old one would be lost.
+TEST_CASE("The founder comes back with an empty disk and joins the log that exists", "[consensus]")
+{
+    Cluster cluster;
+    for (int i = 0; i < 70; ++i)
+        cluster.submit("a", "before" + std::to_string(i));
+    cluster.replace("a");
+    CHECK(cluster.submit("a", "after").body == "71");
+    // It is a learner until the leader has replaced its lost storage by the new one among the voters.
+    CHECK(Cluster::eventually([&] {
+        return cluster["a"].status().role != ConsensusRole::Learner
+            && cluster.members.at("a")->state.revision() == 71;
+    }));
+    // It counts again: a majority of three is left without one of the others.
+    auto other = cluster.leader() == "b" ? "c" : "b";
+    cluster.network.cutOff(other);
+    CHECK(cluster.submit("a", "last").body == "72");
+    CHECK(cluster.submit("a", "before0").body == "1");
+}
+
 TEST_CASE("Writes go on after the leader is cut off, and it catches up later", "[consensus]")
 {
     Cluster cluster;
@@ -162,8 +219,7 @@
     cluster.network.reconnect(old);
     cluster.submit(old, "last");
     // The submit returned when it was applied on the old leader, which can be before the learner.
-    for (int i = 0; i < 500 && cluster.members.at("d")->state.revision() < 123; ++i)
-        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    CHECK(Cluster::eventually([&] { return cluster.members.at("d")->state.revision() == 123; }));
     CHECK(cluster.members.at(old)->state.digest() == cluster.members.at("d")->state.digest());
 }
 
