--- a/include/celeryline/Instance.h
+++ b/include/celeryline/Instance.h
@@ -33,15 +33,16 @@
     InstancePhase phase = InstancePhase::Serving;
     Millis phaseSince; ///< Log entry time of the last change of phase.
     std::uint64_t bootEpoch = 0; ///< Of the last registration.
+    Resources capacity; ///< As announced; zero for runners.
     bool drained = false; ///< While draining or moving: it has no work in progress any more.
 };
 
 inline bool operator==(const Instance& a, const Instance& b)
 {
     return std::tie(a.name, a.kind, a.dataCentre, a.rack, a.labels, a.pool, a.nextPool, a.phase, a.phaseSince,
-               a.bootEpoch, a.drained)
+               a.bootEpoch, a.capacity, a.drained)
         == std::tie(b.name, b.kind, b.dataCentre, b.rack, b.labels, b.pool, b.nextPool, b.phase, b.phaseSince,
-            b.bootEpoch, b.drained);
+            b.bootEpoch, b.capacity, b.drained);
 }
 
 } // namespace celeryline
--- a/include/celeryline/NamedMap.h
+++ b/include/celeryline/NamedMap.h
@@ -31,7 +31,7 @@
 
 public:
     /// Iterates in the order of names.
-    class const_iterator {
+    class Iterator {
     public:
         using iterator_category = std::forward_iterator_tag;
         using value_type = NamedMap::value_type;
@@ -39,8 +39,8 @@
         using pointer = value_type*;
         using reference = value_type&;
 
-        const_iterator() = default;
-        const_iterator(const NamedMap* map, std::size_t chunk, std::size_t position)
+        Iterator() = default;
+        Iterator(const NamedMap* map, std::size_t chunk, std::size_t position)
             : m_map(map)
             , m_chunk(chunk)
             , m_position(position)
@@ -49,7 +49,7 @@
 
         reference operator*() const { return *(*m_map->m_chunks[m_chunk])[m_position]; }
         pointer operator->() const { return &**this; }
-        const_iterator& operator++()
+        Iterator& operator++()
         {
             if (++m_position == m_map->m_chunks[m_chunk]->size()) {
                 m_position = 0;
@@ -57,17 +57,17 @@
             }
             return *this;
         }
-        const_iterator operator++(int)
+        Iterator operator++(int)
         {
             auto before = *this;
             ++*this;
             return before;
         }
-        friend bool operator==(const const_iterator& a, const const_iterator& b)
+        friend bool operator==(const Iterator& a, const Iterator& b)
         {
             return a.m_map == b.m_map && a.m_chunk == b.m_chunk && a.m_position == b.m_position;
         }
-        friend bool operator!=(const const_iterator& a, const const_iterator& b) { return !(a == b); }
+        friend bool operator!=(const Iterator& a, const Iterator& b) { return !(a == b); }
 
     private:
         const NamedMap* m_map = nullptr;
@@ -85,19 +85,19 @@
         }
     }
 
-    const_iterator begin() const { return { this, 0, 0 }; }
-    const_iterator end() const { return { this, m_chunks.size(), 0 }; }
+    Iterator begin() const { return { this, 0, 0 }; }
+    Iterator end() const { return { this, m_chunks.size(), 0 }; }
     std::size_t size() const { return m_size; }
     bool empty() const { return m_size == 0; }
 
-    const_iterator find(const std::string& name) const
+    Iterator find(const std::string& name) const
     {
         auto chunk = chunkOf(name);
         if (chunk == m_chunks.size()) {
             return end();
         }
         auto position = positionIn(*m_chunks[chunk], name);
-        return isAt(*m_chunks[chunk], position, name) ? const_iterator(this, chunk, position) : end();
+        return isAt(*m_chunks[chunk], position, name) ? Iterator(this, chunk, position) : end();
     }
 
     std::size_t count(const std::string& name) const { return find(name) == end() ? 0 : 1; }
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -70,7 +70,14 @@
 std::string permitWaitText(const FleetState& fleet, const Instance& instance)
 {
     const auto* service = guardedServiceOf(fleet, instance);
-    return service ? budgetText(fleet, *service) : "no budget limits it, so a permit follows soon";
+    if (!service) {
+        return "no budget limits it, so a permit follows soon";
+    }
+    auto budget = budgetOf(*fleet.pools, *fleet.instances, *fleet.permits, *service);
+    std::string remedy = budget.allowedDown > 0
+        ? ""
+        : ", so none may ever stop; raise maxUnavailablePercent or lower minAvailable";
+    return budgetText(fleet, *service) + remedy;
 }
 
 /// @return the open wave that waits for the instance, or nullptr.
--- a/src/FleetCodec.cpp
+++ b/src/FleetCodec.cpp
@@ -170,6 +170,7 @@
     json->set("phase", std::string(nameOf(instance.phase)));
     json->set("phaseSince", instance.phaseSince.count);
     json->set("bootEpoch", instance.bootEpoch);
+    json->set("capacity", toJson(instance.capacity));
     json->set("drained", instance.drained);
     return json;
 }
@@ -279,6 +280,7 @@
     instance.phase = fields.has("phase") ? instancePhaseFrom(fields, "phase") : InstancePhase::Serving;
     instance.phaseSince = millisFrom(fields, "phaseSince");
     instance.bootEpoch = fields.number("bootEpoch");
+    instance.capacity = resourcesFrom(fields.object("capacity"));
     instance.drained = fields.boolean("drained", false);
     return instance;
 }
--- a/src/FleetInstanceOperations.cpp
+++ b/src/FleetInstanceOperations.cpp
@@ -142,6 +142,7 @@
     instance.kind = command.instance.kind;
     instance.dataCentre = command.instance.dataCentre;
     instance.rack = command.instance.rack;
+    instance.capacity = command.instance.capacity;
     // The labels stay: once registered, only operators change them.
     if (!(instance == *known)) {
         followLabels(draft, std::move(instance));
--- a/src/UpstreamObserver.cpp
+++ b/src/UpstreamObserver.cpp
@@ -27,6 +27,7 @@
     command.instance.dataCentre = upstream.dataCentre;
     command.instance.rack = upstream.rack;
     command.instance.labels = upstream.labels;
+    command.instance.capacity = upstream.capacity;
     command.instance.bootEpoch = upstream.bootEpoch;
     return command;
 }
@@ -68,9 +69,9 @@
             continue;
         }
         const auto& instance = it->second;
-        bool hasMoved = instance.dataCentre != upstream.dataCentre || instance.rack != upstream.rack
-            || instance.kind != upstream.kind;
-        if (hasMoved) {
+        bool isOther = instance.dataCentre != upstream.dataCentre || instance.rack != upstream.rack
+            || instance.kind != upstream.kind || !(instance.capacity == upstream.capacity);
+        if (isOther) {
             commands.push_back(registrationOf(upstream));
         } else if (instance.bootEpoch != upstream.bootEpoch || instance.phase == InstancePhase::Failed) {
             commands.push_back(commandOn(FleetOperation::InstanceReturned, upstream));
