--- a/src/PackedStream.cpp
+++ b/src/PackedStream.cpp
@@ -54,7 +54,9 @@
             return kj::Maybe<MessageReaderAndFds>(nullptr);
         }
         auto size = sizeIn(header);
-        KJ_REQUIRE(size <= maxPackedSize, "a peer announced too large a message", size);
+        if (size > maxPackedSize) {
+            return KJ_EXCEPTION(FAILED, "a peer announced too large a message", size);
+        }
         auto bytes = kj::heapArray<kj::byte>(size);
         auto bytesRead = m_stream.read(bytes.begin(), size);
         return bytesRead.then([options, bytes = kj::mv(bytes)]() mutable -> kj::Maybe<MessageReaderAndFds> {
