--- a/scripts/lib/demo.py
+++ b/scripts/lib/demo.py
@@ -43,7 +43,7 @@
         path = f"{fleet.run_dir}/fleet.json"
         with open(path, "w") as out:
             json.dump(OBJECTS, out, indent=1)
-        show(fleet, "apply", "-f", path, "--wait")
+        show(fleet, "apply", "-f", os.path.relpath(path, os.getcwd()), "--wait")
         fleet.start_upstreams([row("intake", 4), row("ripening", 2)])
         wait_until(lambda: phase_of(fleet, "intake-3") and phase_of(fleet, "ripening-1"), 10, "announcements")
         print("== a request, end to end")
