--- a/bench/CallPathBench.cpp
+++ b/bench/CallPathBench.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/AnswerParser.h"
-#include "celeryline/CallEndpoint.h"
-#include "celeryline/ClaimLedger.h"
-#include "celeryline/HttpServer.h"
+#include "celeryline/calls/AnswerParser.h"
+#include "celeryline/calls/CallEndpoint.h"
+#include "celeryline/fleet/ClaimLedger.h"
+#include "celeryline/http/HttpServer.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/DecisionsBench.cpp
+++ b/bench/DecisionsBench.cpp
@@ -1,5 +1,5 @@
-#include "celeryline/JobPlacement.h"
-#include "celeryline/WavePlan.h"
+#include "celeryline/decisions/JobPlacement.h"
+#include "celeryline/decisions/WavePlan.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/FleetApplyBench.cpp
+++ b/bench/FleetApplyBench.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FleetApply.h"
-#include "celeryline/LedgerApply.h"
-#include "celeryline/ReplicatedState.h"
+#include "celeryline/fleet/FleetApply.h"
+#include "celeryline/fleet/LedgerApply.h"
+#include "celeryline/fleet/ReplicatedState.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/FleetScenario.cpp
+++ b/bench/FleetScenario.cpp
@@ -1,8 +1,8 @@
 #include "FleetScenario.h"
 
-#include "celeryline/MovePlan.h"
-#include "celeryline/SlotLending.h"
-#include "celeryline/WavePlan.h"
+#include "celeryline/decisions/MovePlan.h"
+#include "celeryline/decisions/SlotLending.h"
+#include "celeryline/decisions/WavePlan.h"
 
 #include <algorithm>
 #include <chrono>
--- a/bench/FleetScenario.h
+++ b/bench/FleetScenario.h
@@ -2,8 +2,8 @@
 /// A small driver that runs the decisions on rotating peaks and a maintenance wave, with fake instances.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/Settings.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/settings/Settings.h"
 
 #include <string>
 
--- a/bench/LogStorageBench.cpp
+++ b/bench/LogStorageBench.cpp
@@ -1,7 +1,7 @@
 // Durable commits a second of the log against SQLite, on the same disk, and restart from a snapshot.
-#include "celeryline/DiskFileSystem.h"
-#include "celeryline/LogStorage.h"
-#include "celeryline/ReplicatedLog.h"
+#include "celeryline/consensus/ReplicatedLog.h"
+#include "celeryline/storage/DiskFileSystem.h"
+#include "celeryline/storage/LogStorage.h"
 
 #include <benchmark/benchmark.h>
 #include <sqlite3.h>
--- a/bench/SelectorIndex.h
+++ b/bench/SelectorIndex.h
@@ -3,8 +3,8 @@
 /// the targets (see SelectorIndexBench.cpp), and nothing there looks at larger sets.
 #pragma once
 
-#include "celeryline/LabelSet.h"
-#include "celeryline/Selector.h"
+#include "celeryline/labels/LabelSet.h"
+#include "celeryline/labels/Selector.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/bench/SlotRoutingBench.cpp
+++ b/bench/SlotRoutingBench.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/SlotCredits.h"
+#include "celeryline/calls/SlotCredits.h"
 
 #include <benchmark/benchmark.h>
 
--- a/include/celeryline/ByteCodec.h
+++ b/include/celeryline/base/ByteCodec.h
@@ -2,7 +2,7 @@
 /// Encoding of integers and texts for files.
 #pragma once
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/ByteCoding.h
+++ b/include/celeryline/base/ByteCoding.h
@@ -2,7 +2,7 @@
 /// Binary coding of snapshots.
 #pragma once
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <cstdint>
 #include <cstring>
--- a/include/celeryline/Clock.h
+++ b/include/celeryline/base/Clock.h
@@ -2,7 +2,7 @@
 /// Sources of time that can be replaced in tests.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <atomic>
 
--- a/include/celeryline/Error.h
+++ b/include/celeryline/base/Error.h
@@ -2,7 +2,7 @@
 /// The exception that all of celeryline throws.
 #pragma once
 
-#include "celeryline/ErrorKind.h"
+#include "celeryline/base/ErrorKind.h"
 
 #include <stdexcept>
 #include <string>
--- a/include/celeryline/Invariant.h
+++ b/include/celeryline/base/Invariant.h
@@ -2,7 +2,7 @@
 /// Conditions that are checked in release builds too.
 #pragma once
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 namespace celeryline {
 
--- a/include/celeryline/AnswerParser.h
+++ b/include/celeryline/calls/AnswerParser.h
@@ -2,7 +2,7 @@
 /// Incremental parsing of HTTP/1.1 answers.
 #pragma once
 
-#include "celeryline/RunnerAnswer.h"
+#include "celeryline/calls/RunnerAnswer.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/celeryline/AnswerSink.h
+++ b/include/celeryline/calls/AnswerSink.h
@@ -2,7 +2,7 @@
 /// Receives answers that are too large to be held.
 #pragma once
 
-#include "celeryline/RunnerAnswer.h"
+#include "celeryline/calls/RunnerAnswer.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/celeryline/BodyReader.h
+++ b/include/celeryline/calls/BodyReader.h
@@ -2,7 +2,7 @@
 /// Reading of a request's body with a time limit for the whole.
 #pragma once
 
-#include "celeryline/Clock.h"
+#include "celeryline/base/Clock.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
--- a/include/celeryline/CallAnswer.h
+++ b/include/celeryline/calls/CallAnswer.h
@@ -2,7 +2,7 @@
 /// What a caller is told.
 #pragma once
 
-#include "celeryline/RunnerAnswer.h"
+#include "celeryline/calls/RunnerAnswer.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/CallEndpoint.h
+++ b/include/celeryline/calls/CallEndpoint.h
@@ -2,10 +2,10 @@
 /// Serves callers' requests below `/call/`.
 #pragma once
 
-#include "celeryline/CallHandler.h"
-#include "celeryline/CallReader.h"
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/Metrics.h"
+#include "celeryline/base/Metrics.h"
+#include "celeryline/calls/CallHandler.h"
+#include "celeryline/calls/CallReader.h"
+#include "celeryline/http/HttpEndpoint.h"
 
 namespace celeryline {
 
--- a/include/celeryline/CallHandler.h
+++ b/include/celeryline/calls/CallHandler.h
@@ -2,12 +2,12 @@
 /// Runs callers' requests.
 #pragma once
 
-#include "celeryline/CallAnswer.h"
-#include "celeryline/CallRequest.h"
-#include "celeryline/ClaimClient.h"
-#include "celeryline/Router.h"
-#include "celeryline/ScopedSpan.h"
-#include "celeryline/UpstreamPool.h"
+#include "celeryline/calls/CallAnswer.h"
+#include "celeryline/calls/CallRequest.h"
+#include "celeryline/calls/ClaimClient.h"
+#include "celeryline/calls/Router.h"
+#include "celeryline/calls/UpstreamPool.h"
+#include "celeryline/tracing/ScopedSpan.h"
 
 #include <atomic>
 #include <cstdint>
--- a/include/celeryline/CallReader.h
+++ b/include/celeryline/calls/CallReader.h
@@ -2,9 +2,9 @@
 /// Reading and checking of callers' requests.
 #pragma once
 
-#include "celeryline/CallRequest.h"
-#include "celeryline/Clock.h"
-#include "celeryline/Settings.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/calls/CallRequest.h"
+#include "celeryline/settings/Settings.h"
 
 #include <Poco/Net/HTTPServerRequest.h>
 
--- a/include/celeryline/CallRequest.h
+++ b/include/celeryline/calls/CallRequest.h
@@ -2,8 +2,8 @@
 /// A caller's request, read and checked.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/RunnerAnswer.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/calls/RunnerAnswer.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/ClaimClient.h
+++ b/include/celeryline/calls/ClaimClient.h
@@ -2,10 +2,10 @@
 /// Claims of non-repeatable requests.
 #pragma once
 
-#include "celeryline/CallAnswer.h"
-#include "celeryline/Clock.h"
-#include "celeryline/Metrics.h"
-#include "celeryline/Store.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/base/Metrics.h"
+#include "celeryline/calls/CallAnswer.h"
+#include "celeryline/consensus/Store.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/include/celeryline/CreditShare.h
+++ b/include/celeryline/calls/CreditShare.h
@@ -2,7 +2,7 @@
 /// Which part of a runner's slots each entry instance owns.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/celeryline/Exchange.h
+++ b/include/celeryline/calls/Exchange.h
@@ -2,9 +2,9 @@
 /// One HTTP exchange with a runner and how it ended.
 #pragma once
 
-#include "celeryline/AnswerSink.h"
-#include "celeryline/Millis.h"
-#include "celeryline/RunnerAnswer.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/calls/AnswerSink.h"
+#include "celeryline/calls/RunnerAnswer.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/PeerDispatch.h
+++ b/include/celeryline/calls/PeerDispatch.h
@@ -2,12 +2,12 @@
 /// Hands the calls of other entry instances to the modules that serve them.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/PeerHandler.h"
-#include "celeryline/PeerMonitor.h"
-#include "celeryline/ReplicatedLog.h"
-#include "celeryline/Router.h"
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/calls/Router.h"
+#include "celeryline/consensus/ReplicatedLog.h"
+#include "celeryline/registry/UpstreamRegistry.h"
+#include "celeryline/rpc/PeerHandler.h"
+#include "celeryline/rpc/PeerMonitor.h"
 
 namespace celeryline {
 
--- a/include/celeryline/RouteTable.h
+++ b/include/celeryline/calls/RouteTable.h
@@ -2,8 +2,8 @@
 /// Which runners serve which service.
 #pragma once
 
-#include "celeryline/FleetState.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/fleet/FleetState.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <cstdint>
 #include <map>
--- a/include/celeryline/Router.h
+++ b/include/celeryline/calls/Router.h
@@ -2,13 +2,13 @@
 /// Chooses a runner with a free slot for each request.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/FleetReader.h"
-#include "celeryline/RouteTable.h"
-#include "celeryline/ServiceQueue.h"
-#include "celeryline/Settings.h"
-#include "celeryline/SlotCredits.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/calls/RouteTable.h"
+#include "celeryline/calls/ServiceQueue.h"
+#include "celeryline/calls/SlotCredits.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/registry/UpstreamView.h"
+#include "celeryline/settings/Settings.h"
 
 #include <functional>
 #include <thread>
--- a/include/celeryline/RoutingState.h
+++ b/include/celeryline/calls/RoutingState.h
@@ -2,9 +2,9 @@
 /// The routes with their credits and queues.
 #pragma once
 
-#include "celeryline/RouteTable.h"
-#include "celeryline/RunnerCredits.h"
-#include "celeryline/ServiceQueue.h"
+#include "celeryline/calls/RouteTable.h"
+#include "celeryline/calls/RunnerCredits.h"
+#include "celeryline/calls/ServiceQueue.h"
 
 #include <memory>
 #include <string>
--- a/include/celeryline/RunnerConnection.h
+++ b/include/celeryline/calls/RunnerConnection.h
@@ -2,8 +2,8 @@
 /// One connection to a runner.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/Exchange.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/calls/Exchange.h"
 
 #include <Poco/Net/StreamSocket.h>
 
--- a/include/celeryline/RunnerCredits.h
+++ b/include/celeryline/calls/RunnerCredits.h
@@ -2,7 +2,7 @@
 /// The slots of one runner that this instance may use.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <atomic>
 #include <cstdint>
--- a/include/celeryline/ServiceQueue.h
+++ b/include/celeryline/calls/ServiceQueue.h
@@ -2,9 +2,9 @@
 /// What the router keeps for one service.
 #pragma once
 
-#include "celeryline/FairQueue.h"
-#include "celeryline/Metrics.h"
-#include "celeryline/RetryBudget.h"
+#include "celeryline/base/Metrics.h"
+#include "celeryline/calls/FairQueue.h"
+#include "celeryline/calls/RetryBudget.h"
 
 #include <atomic>
 #include <condition_variable>
--- a/include/celeryline/SlotCredits.h
+++ b/include/celeryline/calls/SlotCredits.h
@@ -2,10 +2,10 @@
 /// The slots of all runners of a data centre that this instance may use.
 #pragma once
 
-#include "celeryline/CreditRequest.h"
-#include "celeryline/CreditShare.h"
-#include "celeryline/RouteTable.h"
-#include "celeryline/RunnerCredits.h"
+#include "celeryline/calls/CreditShare.h"
+#include "celeryline/calls/RouteTable.h"
+#include "celeryline/calls/RunnerCredits.h"
+#include "celeryline/registry/CreditRequest.h"
 
 #include <atomic>
 #include <cstdint>
--- a/include/celeryline/UpstreamPool.h
+++ b/include/celeryline/calls/UpstreamPool.h
@@ -2,10 +2,10 @@
 /// Connections to runners and to other data centres.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/Exchange.h"
-#include "celeryline/RunnerConnection.h"
-#include "celeryline/Settings.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/calls/Exchange.h"
+#include "celeryline/calls/RunnerConnection.h"
+#include "celeryline/settings/Settings.h"
 
 #include <array>
 #include <memory>
--- a/include/celeryline/CheckConfigCommand.h
+++ b/include/celeryline/cli/CheckConfigCommand.h
@@ -2,7 +2,7 @@
 /// The subcommand that checks a settings file.
 #pragma once
 
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/Subcommand.h"
 
 namespace celeryline {
 
--- a/include/celeryline/CliChanges.h
+++ b/include/celeryline/cli/CliChanges.h
@@ -2,8 +2,8 @@
 /// Sending changes from the command line.
 #pragma once
 
-#include "celeryline/CliClient.h"
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/CliClient.h"
+#include "celeryline/cli/Subcommand.h"
 
 #include <string>
 
--- a/include/celeryline/CliClient.h
+++ b/include/celeryline/cli/CliClient.h
@@ -2,7 +2,7 @@
 /// The command line's HTTP client.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <Poco/JSON/Object.h>
 #include <boost/program_options/options_description.hpp>
--- a/include/celeryline/CliCommands.h
+++ b/include/celeryline/cli/CliCommands.h
@@ -2,7 +2,7 @@
 /// The operators' subcommands.
 #pragma once
 
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/Subcommand.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/CommandLine.h
+++ b/include/celeryline/cli/CommandLine.h
@@ -2,7 +2,7 @@
 /// Parsing of a subcommand's options.
 #pragma once
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <boost/program_options/options_description.hpp>
 #include <boost/program_options/positional_options.hpp>
--- a/include/celeryline/Subcommand.h
+++ b/include/celeryline/cli/Subcommand.h
@@ -2,7 +2,7 @@
 /// The subcommands of the command line.
 #pragma once
 
-#include "celeryline/ErrorKind.h"
+#include "celeryline/base/ErrorKind.h"
 
 #include <functional>
 #include <string>
--- a/include/celeryline/CommandCodec.h
+++ b/include/celeryline/consensus/CommandCodec.h
@@ -2,8 +2,8 @@
 /// Commands as bytes.
 #pragma once
 
-#include "celeryline/ByteCodec.h"
-#include "celeryline/Command.h"
+#include "celeryline/base/ByteCodec.h"
+#include "celeryline/consensus/Command.h"
 
 #include <string>
 
--- a/include/celeryline/CommandResult.h
+++ b/include/celeryline/consensus/CommandResult.h
@@ -2,7 +2,7 @@
 /// What applying a command to the replicated state gave.
 #pragma once
 
-#include "celeryline/ErrorKind.h"
+#include "celeryline/base/ErrorKind.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/LogFormation.h
+++ b/include/celeryline/consensus/LogFormation.h
@@ -2,10 +2,10 @@
 /// The formation of a new replicated log.
 #pragma once
 
-#include "celeryline/Hello.h"
-#include "celeryline/LogEntry.h"
-#include "celeryline/Millis.h"
-#include "celeryline/PeerTransport.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/Hello.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/storage/LogEntry.h"
 
 #include <optional>
 #include <string>
--- a/include/celeryline/PeerTransport.h
+++ b/include/celeryline/consensus/PeerTransport.h
@@ -2,14 +2,14 @@
 /// Calls to other entry instances.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/CreditRequest.h"
-#include "celeryline/Heartbeat.h"
-#include "celeryline/Hello.h"
-#include "celeryline/Millis.h"
-#include "celeryline/RaftMessage.h"
-#include "celeryline/RegistryDelta.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/consensus/Hello.h"
+#include "celeryline/consensus/RaftMessage.h"
+#include "celeryline/registry/CreditRequest.h"
+#include "celeryline/registry/Heartbeat.h"
+#include "celeryline/registry/RegistryDelta.h"
 
 #include <string>
 
--- a/include/celeryline/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -2,11 +2,11 @@
 /// The consensus algorithm as a pure state machine.
 #pragma once
 
-#include "celeryline/RaftLog.h"
-#include "celeryline/RaftOptions.h"
-#include "celeryline/RaftOutput.h"
-#include "celeryline/ReplicaState.h"
-#include "celeryline/StoreStatus.h"
+#include "celeryline/consensus/RaftLog.h"
+#include "celeryline/consensus/RaftOptions.h"
+#include "celeryline/consensus/RaftOutput.h"
+#include "celeryline/consensus/ReplicaState.h"
+#include "celeryline/consensus/StoreStatus.h"
 
 #include <map>
 #include <optional>
--- a/include/celeryline/RaftLog.h
+++ b/include/celeryline/consensus/RaftLog.h
@@ -2,8 +2,8 @@
 /// The part of the log that RaftCore holds in memory.
 #pragma once
 
-#include "celeryline/LogEntry.h"
-#include "celeryline/Snapshot.h"
+#include "celeryline/consensus/Snapshot.h"
+#include "celeryline/storage/LogEntry.h"
 
 #include <deque>
 #include <map>
--- a/include/celeryline/RaftMessage.h
+++ b/include/celeryline/consensus/RaftMessage.h
@@ -2,7 +2,7 @@
 /// A message between two instances' consensus modules.
 #pragma once
 
-#include "celeryline/LogEntry.h"
+#include "celeryline/storage/LogEntry.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/RaftOptions.h
+++ b/include/celeryline/consensus/RaftOptions.h
@@ -2,8 +2,8 @@
 /// Constants of one RaftCore.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/RaftMessage.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/RaftMessage.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/RaftOutput.h
+++ b/include/celeryline/consensus/RaftOutput.h
@@ -2,10 +2,10 @@
 /// What RaftCore asks its surroundings to do.
 #pragma once
 
-#include "celeryline/LogEntry.h"
-#include "celeryline/RaftMessage.h"
-#include "celeryline/Snapshot.h"
-#include "celeryline/TermRecord.h"
+#include "celeryline/consensus/RaftMessage.h"
+#include "celeryline/consensus/Snapshot.h"
+#include "celeryline/consensus/TermRecord.h"
+#include "celeryline/storage/LogEntry.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/RaftStorage.h
+++ b/include/celeryline/consensus/RaftStorage.h
@@ -2,10 +2,10 @@
 /// Everything that one replica of the log keeps on its disk.
 #pragma once
 
-#include "celeryline/LogStorage.h"
-#include "celeryline/RaftOutput.h"
-#include "celeryline/SnapshotStorage.h"
-#include "celeryline/TermRecord.h"
+#include "celeryline/consensus/RaftOutput.h"
+#include "celeryline/consensus/TermRecord.h"
+#include "celeryline/storage/LogStorage.h"
+#include "celeryline/storage/SnapshotStorage.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/ReplicaState.h
+++ b/include/celeryline/consensus/ReplicaState.h
@@ -2,8 +2,8 @@
 /// What a leader knows about another instance.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/RaftMessage.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/RaftMessage.h"
 
 #include <cstdint>
 
--- a/include/celeryline/ReplicatedLog.h
+++ b/include/celeryline/consensus/ReplicatedLog.h
@@ -2,16 +2,16 @@
 /// The replicated log of one instance.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/FileSystem.h"
-#include "celeryline/Hello.h"
-#include "celeryline/PeerTransport.h"
-#include "celeryline/RaftCore.h"
-#include "celeryline/RaftStorage.h"
-#include "celeryline/Settings.h"
-#include "celeryline/StateMachine.h"
-#include "celeryline/Store.h"
-#include "celeryline/SubmitWaiter.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/consensus/Hello.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/consensus/RaftCore.h"
+#include "celeryline/consensus/RaftStorage.h"
+#include "celeryline/consensus/StateMachine.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/consensus/SubmitWaiter.h"
+#include "celeryline/settings/Settings.h"
+#include "celeryline/storage/FileSystem.h"
 
 #include <condition_variable>
 #include <map>
--- a/include/celeryline/Snapshot.h
+++ b/include/celeryline/consensus/Snapshot.h
@@ -2,8 +2,8 @@
 /// The state of the replicated log up to one entry.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/VoterConfiguration.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/VoterConfiguration.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/StateMachine.h
+++ b/include/celeryline/consensus/StateMachine.h
@@ -2,9 +2,9 @@
 /// The interface between the replicated log and the state that it replicates.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/Store.h
+++ b/include/celeryline/consensus/Store.h
@@ -2,10 +2,10 @@
 /// Changes to the replicated state, as the rest of the process sees them.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/Millis.h"
-#include "celeryline/StoreStatus.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/consensus/StoreStatus.h"
 
 namespace celeryline {
 
--- a/include/celeryline/SubmitWaiter.h
+++ b/include/celeryline/consensus/SubmitWaiter.h
@@ -2,7 +2,7 @@
 /// A submitted command whose result is awaited.
 #pragma once
 
-#include "celeryline/CommandResult.h"
+#include "celeryline/consensus/CommandResult.h"
 
 namespace celeryline::detail {
 
--- a/include/celeryline/TermRecord.h
+++ b/include/celeryline/consensus/TermRecord.h
@@ -2,7 +2,7 @@
 /// The term and vote of a replica.
 #pragma once
 
-#include "celeryline/RaftMessage.h"
+#include "celeryline/consensus/RaftMessage.h"
 
 #include <cstdint>
 
--- a/include/celeryline/VoterConfiguration.h
+++ b/include/celeryline/consensus/VoterConfiguration.h
@@ -2,7 +2,7 @@
 /// The set of voters of the replicated log.
 #pragma once
 
-#include "celeryline/RaftMessage.h"
+#include "celeryline/consensus/RaftMessage.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/Admission.h
+++ b/include/celeryline/decisions/Admission.h
@@ -2,7 +2,7 @@
 /// The decision whether a request is admitted to a service's queue.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <map>
 #include <string>
--- a/include/celeryline/CapacityIndex.h
+++ b/include/celeryline/decisions/CapacityIndex.h
@@ -2,8 +2,8 @@
 /// Free capacity of all workers, indexed for placement.
 #pragma once
 
-#include "celeryline/Announcement.h"
-#include "celeryline/Selector.h"
+#include "celeryline/labels/Selector.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <map>
--- a/include/celeryline/Instructions.h
+++ b/include/celeryline/decisions/Instructions.h
@@ -2,8 +2,8 @@
 /// What upstreams are told in the response to their announcements.
 #pragma once
 
-#include "celeryline/AnnounceReply.h"
-#include "celeryline/FleetReader.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/registry/AnnounceReply.h"
 
 #include <map>
 #include <memory>
--- a/include/celeryline/JobBacklog.h
+++ b/include/celeryline/decisions/JobBacklog.h
@@ -2,7 +2,7 @@
 /// Jobs that wait for placement.
 #pragma once
 
-#include "celeryline/Job.h"
+#include "celeryline/fleet/Job.h"
 
 #include <cstdint>
 #include <list>
--- a/include/celeryline/JobPlacement.h
+++ b/include/celeryline/decisions/JobPlacement.h
@@ -2,9 +2,9 @@
 /// The decision which jobs start on which workers.
 #pragma once
 
-#include "celeryline/CapacityIndex.h"
-#include "celeryline/JobBacklog.h"
-#include "celeryline/SizeEstimator.h"
+#include "celeryline/decisions/CapacityIndex.h"
+#include "celeryline/decisions/JobBacklog.h"
+#include "celeryline/decisions/SizeEstimator.h"
 
 #include <map>
 #include <optional>
--- a/include/celeryline/JobPressure.h
+++ b/include/celeryline/decisions/JobPressure.h
@@ -2,8 +2,8 @@
 /// Decisions about jobs on a worker under pressure and on a lost worker.
 #pragma once
 
-#include "celeryline/JobPlacement.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/decisions/JobPlacement.h"
 
 #include <optional>
 
--- a/include/celeryline/MovePlan.h
+++ b/include/celeryline/decisions/MovePlan.h
@@ -2,7 +2,7 @@
 /// The decision which pools exchange instances.
 #pragma once
 
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/SizeEstimator.h
+++ b/include/celeryline/decisions/SizeEstimator.h
@@ -2,7 +2,7 @@
 /// Learnt sizes of jobs.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <array>
 #include <map>
--- a/include/celeryline/SlotLending.h
+++ b/include/celeryline/decisions/SlotLending.h
@@ -2,7 +2,7 @@
 /// The decision how many spare slots each queue may use, and how large the shared reserve is.
 #pragma once
 
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/StopBudget.h
+++ b/include/celeryline/decisions/StopBudget.h
@@ -2,8 +2,8 @@
 /// Availability budgets: how many instances of a service may be down at once.
 #pragma once
 
-#include "celeryline/Instance.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/fleet/Instance.h"
 
 #include <map>
 #include <set>
--- a/include/celeryline/WavePlan.h
+++ b/include/celeryline/decisions/WavePlan.h
@@ -2,8 +2,8 @@
 /// The decision which instances of a maintenance wave may stop now.
 #pragma once
 
-#include "celeryline/Settings.h"
-#include "celeryline/StopBudget.h"
+#include "celeryline/decisions/StopBudget.h"
+#include "celeryline/settings/Settings.h"
 
 #include <set>
 #include <string>
--- a/include/celeryline/WorkerHealth.h
+++ b/include/celeryline/decisions/WorkerHealth.h
@@ -2,7 +2,7 @@
 /// The decision whether a worker fails jobs that others would complete.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/ClaimLedger.h
+++ b/include/celeryline/fleet/ClaimLedger.h
@@ -2,10 +2,10 @@
 /// The ledger of non-repeatable requests: a deterministic state machine.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/LedgerApply.h"
-#include "celeryline/Settings.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/fleet/LedgerApply.h"
+#include "celeryline/settings/Settings.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/include/celeryline/FleetApply.h
+++ b/include/celeryline/fleet/FleetApply.h
@@ -2,8 +2,8 @@
 /// Applying fleet commands.
 #pragma once
 
-#include "celeryline/FleetCommand.h"
-#include "celeryline/FleetState.h"
+#include "celeryline/fleet/FleetCommand.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <string>
 #include <utility>
--- a/include/celeryline/FleetCodec.h
+++ b/include/celeryline/fleet/FleetCodec.h
@@ -2,8 +2,8 @@
 /// The fleet state and its objects as JSON.
 #pragma once
 
-#include "celeryline/FleetState.h"
-#include "celeryline/JsonFields.h"
+#include "celeryline/fleet/FleetState.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
--- a/include/celeryline/FleetCommand.h
+++ b/include/celeryline/fleet/FleetCommand.h
@@ -2,7 +2,7 @@
 /// The commands that change the fleet state.
 #pragma once
 
-#include "celeryline/FleetState.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/celeryline/FleetDifference.h
+++ b/include/celeryline/fleet/FleetDifference.h
@@ -2,7 +2,7 @@
 /// What differs between two fleet states.
 #pragma once
 
-#include "celeryline/FleetState.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <Poco/JSON/Array.h>
 
--- a/include/celeryline/FleetDraft.h
+++ b/include/celeryline/fleet/FleetDraft.h
@@ -2,8 +2,8 @@
 /// The next fleet state while a command is being applied.
 #pragma once
 
-#include "celeryline/Error.h"
-#include "celeryline/FleetState.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <cstdint>
 #include <optional>
--- a/include/celeryline/FleetOperations.h
+++ b/include/celeryline/fleet/FleetOperations.h
@@ -2,8 +2,8 @@
 /// The operations of fleet commands on a draft of the next state.
 #pragma once
 
-#include "celeryline/FleetCommand.h"
-#include "celeryline/FleetDraft.h"
+#include "celeryline/fleet/FleetCommand.h"
+#include "celeryline/fleet/FleetDraft.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/include/celeryline/FleetReader.h
+++ b/include/celeryline/fleet/FleetReader.h
@@ -2,8 +2,8 @@
 /// Read access to the newest fleet state.
 #pragma once
 
-#include "celeryline/FleetState.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <algorithm>
 #include <chrono>
--- a/include/celeryline/FleetState.h
+++ b/include/celeryline/fleet/FleetState.h
@@ -2,14 +2,14 @@
 /// The fleet state: an immutable value that the replicated log owns.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/Instance.h"
-#include "celeryline/Job.h"
-#include "celeryline/NamedMap.h"
-#include "celeryline/Pool.h"
-#include "celeryline/Service.h"
-#include "celeryline/Wave.h"
+#include "celeryline/base/NamedMap.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/fleet/Instance.h"
+#include "celeryline/fleet/Job.h"
+#include "celeryline/fleet/Pool.h"
+#include "celeryline/fleet/Service.h"
+#include "celeryline/fleet/Wave.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/FleetViews.h
+++ b/include/celeryline/fleet/FleetViews.h
@@ -2,9 +2,9 @@
 /// The fleet state as operators see it over HTTP.
 #pragma once
 
-#include "celeryline/FleetState.h"
-#include "celeryline/StoreStatus.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/consensus/StoreStatus.h"
+#include "celeryline/fleet/FleetState.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/include/celeryline/Instance.h
+++ b/include/celeryline/fleet/Instance.h
@@ -2,9 +2,9 @@
 /// An instance of the fleet.
 #pragma once
 
-#include "celeryline/Announcement.h"
-#include "celeryline/LabelSet.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/labels/LabelSet.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/Job.h
+++ b/include/celeryline/fleet/Job.h
@@ -2,9 +2,9 @@
 /// A job that runs on workers, and the quota of its team.
 #pragma once
 
-#include "celeryline/Announcement.h"
-#include "celeryline/Millis.h"
-#include "celeryline/Selector.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/labels/Selector.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/LedgerApply.h
+++ b/include/celeryline/fleet/LedgerApply.h
@@ -2,9 +2,9 @@
 /// The ledger of non-repeatable requests as the replicated state sees it.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/Pool.h
+++ b/include/celeryline/fleet/Pool.h
@@ -2,7 +2,7 @@
 /// A pool of instances.
 #pragma once
 
-#include "celeryline/Selector.h"
+#include "celeryline/labels/Selector.h"
 
 #include <string>
 #include <tuple>
--- a/include/celeryline/PoolMembership.h
+++ b/include/celeryline/fleet/PoolMembership.h
@@ -2,7 +2,7 @@
 /// Which pool owns an instance.
 #pragma once
 
-#include "celeryline/FleetState.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <string>
 
--- a/include/celeryline/ReplicatedState.h
+++ b/include/celeryline/fleet/ReplicatedState.h
@@ -2,9 +2,9 @@
 /// The state that the replicated log replicates: fleet, ledger and recent results.
 #pragma once
 
-#include "celeryline/FleetReader.h"
-#include "celeryline/LedgerApply.h"
-#include "celeryline/StateMachine.h"
+#include "celeryline/consensus/StateMachine.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/fleet/LedgerApply.h"
 
 #include <condition_variable>
 #include <deque>
--- a/include/celeryline/Service.h
+++ b/include/celeryline/fleet/Service.h
@@ -2,8 +2,8 @@
 /// A service that callers send requests to.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/Selector.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/labels/Selector.h"
 
 #include <string>
 #include <tuple>
--- a/include/celeryline/Wave.h
+++ b/include/celeryline/fleet/Wave.h
@@ -2,8 +2,8 @@
 /// A maintenance wave and its permits.
 #pragma once
 
-#include "celeryline/Millis.h"
-#include "celeryline/Selector.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/labels/Selector.h"
 
 #include <cstdint>
 #include <set>
--- a/include/celeryline/HttpConnection.h
+++ b/include/celeryline/http/HttpConnection.h
@@ -2,7 +2,7 @@
 /// Serves the requests of one caller's connection.
 #pragma once
 
-#include "celeryline/HttpServerState.h"
+#include "celeryline/http/HttpServerState.h"
 
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerSession.h>
--- a/include/celeryline/HttpErrors.h
+++ b/include/celeryline/http/HttpErrors.h
@@ -2,7 +2,7 @@
 /// Errors as HTTP answers.
 #pragma once
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <Poco/Net/HTTPServerResponse.h>
 
--- a/include/celeryline/HttpServer.h
+++ b/include/celeryline/http/HttpServer.h
@@ -2,9 +2,9 @@
 /// The one HTTP listener of a process and the dispatch of requests to endpoints.
 #pragma once
 
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/HttpServerState.h"
-#include "celeryline/Settings.h"
+#include "celeryline/http/HttpEndpoint.h"
+#include "celeryline/http/HttpServerState.h"
+#include "celeryline/settings/Settings.h"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/TCPServer.h>
--- a/include/celeryline/HttpServerState.h
+++ b/include/celeryline/http/HttpServerState.h
@@ -2,8 +2,8 @@
 /// What the connections of one HTTP listener share.
 #pragma once
 
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/Settings.h"
+#include "celeryline/http/HttpEndpoint.h"
+#include "celeryline/settings/Settings.h"
 
 #include <Poco/Net/StreamSocket.h>
 
--- a/include/celeryline/ProbeEndpoint.h
+++ b/include/celeryline/http/ProbeEndpoint.h
@@ -2,8 +2,8 @@
 /// Health, readiness and metrics over HTTP.
 #pragma once
 
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/Metrics.h"
+#include "celeryline/base/Metrics.h"
+#include "celeryline/http/HttpEndpoint.h"
 
 #include <functional>
 #include <string>
--- a/include/celeryline/RoleGuard.h
+++ b/include/celeryline/http/RoleGuard.h
@@ -2,7 +2,7 @@
 /// Token checks in front of endpoints.
 #pragma once
 
-#include "celeryline/HttpEndpoint.h"
+#include "celeryline/http/HttpEndpoint.h"
 
 #include <string>
 
--- a/include/celeryline/JsonFields.h
+++ b/include/celeryline/labels/JsonFields.h
@@ -2,8 +2,8 @@
 /// Checked access to the fields of a JSON object.
 #pragma once
 
-#include "celeryline/LabelSet.h"
-#include "celeryline/Selector.h"
+#include "celeryline/labels/LabelSet.h"
+#include "celeryline/labels/Selector.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/include/celeryline/Selector.h
+++ b/include/celeryline/labels/Selector.h
@@ -2,7 +2,7 @@
 /// Selectors that match labels.
 #pragma once
 
-#include "celeryline/LabelSet.h"
+#include "celeryline/labels/LabelSet.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/AnnounceEndpoint.h
+++ b/include/celeryline/operators/AnnounceEndpoint.h
@@ -2,10 +2,10 @@
 /// Announcements over HTTP.
 #pragma once
 
-#include "celeryline/AnnounceReply.h"
-#include "celeryline/Clock.h"
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/http/HttpEndpoint.h"
+#include "celeryline/registry/AnnounceReply.h"
+#include "celeryline/registry/UpstreamRegistry.h"
 
 #include <functional>
 #include <string>
--- a/include/celeryline/Explain.h
+++ b/include/celeryline/operators/Explain.h
@@ -2,7 +2,7 @@
 /// Why an instance, job or wave waits.
 #pragma once
 
-#include "celeryline/FleetState.h"
+#include "celeryline/fleet/FleetState.h"
 
 #include <string>
 
--- a/include/celeryline/MaintenanceController.h
+++ b/include/celeryline/operators/MaintenanceController.h
@@ -2,11 +2,11 @@
 /// Drives maintenance waves and moves on the leader.
 #pragma once
 
-#include "celeryline/FleetCommand.h"
-#include "celeryline/FleetReader.h"
-#include "celeryline/Settings.h"
-#include "celeryline/Store.h"
-#include "celeryline/WavePlan.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/decisions/WavePlan.h"
+#include "celeryline/fleet/FleetCommand.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/settings/Settings.h"
 
 #include <functional>
 #include <map>
--- a/include/celeryline/OperatorApi.h
+++ b/include/celeryline/operators/OperatorApi.h
@@ -2,13 +2,13 @@
 /// The operators' HTTP API.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/FleetReader.h"
-#include "celeryline/FleetViews.h"
-#include "celeryline/HttpEndpoint.h"
-#include "celeryline/OperatorCommands.h"
-#include "celeryline/Store.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/fleet/FleetViews.h"
+#include "celeryline/http/HttpEndpoint.h"
+#include "celeryline/operators/OperatorCommands.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <functional>
 #include <string>
--- a/include/celeryline/OperatorCommands.h
+++ b/include/celeryline/operators/OperatorCommands.h
@@ -2,7 +2,7 @@
 /// Operators' HTTP requests as fleet commands.
 #pragma once
 
-#include "celeryline/FleetCommand.h"
+#include "celeryline/fleet/FleetCommand.h"
 
 #include <optional>
 #include <string>
--- a/include/celeryline/UpstreamObserver.h
+++ b/include/celeryline/operators/UpstreamObserver.h
@@ -2,11 +2,11 @@
 /// What the live upstreams of a data centre mean for the fleet state.
 #pragma once
 
-#include "celeryline/AnnounceReply.h"
-#include "celeryline/FleetCommand.h"
-#include "celeryline/FleetReader.h"
-#include "celeryline/Store.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/fleet/FleetCommand.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/registry/AnnounceReply.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <map>
 #include <mutex>
--- a/include/celeryline/EntryInstance.h
+++ b/include/celeryline/process/EntryInstance.h
@@ -2,7 +2,7 @@
 /// One entry instance: owns and connects the modules of a process.
 #pragma once
 
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
 #include <memory>
 
--- a/include/celeryline/ProcessGauges.h
+++ b/include/celeryline/process/ProcessGauges.h
@@ -2,15 +2,15 @@
 /// Gauges of the state of one entry instance.
 #pragma once
 
-#include "celeryline/ClaimClient.h"
-#include "celeryline/FleetReader.h"
-#include "celeryline/HttpServer.h"
-#include "celeryline/Metrics.h"
-#include "celeryline/PeerMonitor.h"
-#include "celeryline/RpcTransport.h"
-#include "celeryline/SpanExporter.h"
-#include "celeryline/Store.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/base/Metrics.h"
+#include "celeryline/calls/ClaimClient.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/fleet/FleetReader.h"
+#include "celeryline/http/HttpServer.h"
+#include "celeryline/registry/UpstreamView.h"
+#include "celeryline/rpc/PeerMonitor.h"
+#include "celeryline/rpc/RpcTransport.h"
+#include "celeryline/tracing/SpanExporter.h"
 
 #include <map>
 #include <string>
--- a/include/celeryline/ServeCommand.h
+++ b/include/celeryline/process/ServeCommand.h
@@ -2,7 +2,7 @@
 /// The subcommand that runs an entry instance.
 #pragma once
 
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/Subcommand.h"
 
 namespace celeryline {
 
--- a/include/celeryline/AnnounceReply.h
+++ b/include/celeryline/registry/AnnounceReply.h
@@ -2,7 +2,7 @@
 /// What an upstream reports about its tasks and what it is told to do.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/Announcement.h
+++ b/include/celeryline/registry/Announcement.h
@@ -2,8 +2,8 @@
 /// What an upstream tells about itself.
 #pragma once
 
-#include "celeryline/LabelSet.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
+#include "celeryline/labels/LabelSet.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/AnnouncementJson.h
+++ b/include/celeryline/registry/AnnouncementJson.h
@@ -2,8 +2,8 @@
 /// Announcements as JSON.
 #pragma once
 
-#include "celeryline/AnnounceReply.h"
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/AnnounceReply.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/CreditRequest.h
+++ b/include/celeryline/registry/CreditRequest.h
@@ -2,7 +2,7 @@
 /// A request to borrow slot credits from another entry instance of the same data centre.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/RegistryDelta.h
+++ b/include/celeryline/registry/RegistryDelta.h
@@ -2,7 +2,7 @@
 /// Changes to the soft state that entry instances of one data centre send each other.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/UpstreamClaims.h
+++ b/include/celeryline/registry/UpstreamClaims.h
@@ -2,7 +2,7 @@
 /// What the entry instances of a data centre hold about one upstream.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <map>
--- a/include/celeryline/UpstreamRegistry.h
+++ b/include/celeryline/registry/UpstreamRegistry.h
@@ -2,11 +2,11 @@
 /// The soft state: live upstreams and entry instances of this data centre.
 #pragma once
 
-#include "celeryline/Announcement.h"
-#include "celeryline/Heartbeat.h"
-#include "celeryline/RegistryDelta.h"
-#include "celeryline/UpstreamClaims.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/registry/Announcement.h"
+#include "celeryline/registry/Heartbeat.h"
+#include "celeryline/registry/RegistryDelta.h"
+#include "celeryline/registry/UpstreamClaims.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <array>
 #include <atomic>
--- a/include/celeryline/UpstreamView.h
+++ b/include/celeryline/registry/UpstreamView.h
@@ -2,7 +2,7 @@
 /// Read access to the live upstreams of this data centre.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/PeerCall.h
+++ b/include/celeryline/rpc/PeerCall.h
@@ -2,8 +2,8 @@
 /// A call to another entry instance that a thread waits for.
 #pragma once
 
-#include "celeryline/Error.h"
-#include "celeryline/Millis.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/base/Millis.h"
 
 #include <Peer.capnp.h>
 
--- a/include/celeryline/PeerHandler.h
+++ b/include/celeryline/rpc/PeerHandler.h
@@ -2,13 +2,13 @@
 /// What an entry instance does with calls from other entry instances.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/CreditRequest.h"
-#include "celeryline/Heartbeat.h"
-#include "celeryline/Hello.h"
-#include "celeryline/RaftMessage.h"
-#include "celeryline/RegistryDelta.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/consensus/Hello.h"
+#include "celeryline/consensus/RaftMessage.h"
+#include "celeryline/registry/CreditRequest.h"
+#include "celeryline/registry/Heartbeat.h"
+#include "celeryline/registry/RegistryDelta.h"
 
 namespace celeryline {
 
--- a/include/celeryline/PeerLink.h
+++ b/include/celeryline/rpc/PeerLink.h
@@ -2,10 +2,10 @@
 /// The connection to one other entry instance.
 #pragma once
 
-#include "celeryline/PeerCall.h"
-#include "celeryline/PeerQueue.h"
-#include "celeryline/RpcLoop.h"
-#include "celeryline/SocketOptions.h"
+#include "celeryline/base/SocketOptions.h"
+#include "celeryline/rpc/PeerCall.h"
+#include "celeryline/rpc/PeerQueue.h"
+#include "celeryline/rpc/RpcLoop.h"
 
 #include <memory>
 #include <set>
--- a/include/celeryline/PeerMonitor.h
+++ b/include/celeryline/rpc/PeerMonitor.h
@@ -2,9 +2,9 @@
 /// Heartbeats to and from the other entry instances.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/Heartbeat.h"
-#include "celeryline/PeerTransport.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/registry/Heartbeat.h"
 
 #include <condition_variable>
 #include <functional>
--- a/include/celeryline/PeerQueue.h
+++ b/include/celeryline/rpc/PeerQueue.h
@@ -2,9 +2,9 @@
 /// The bounded queue of messages to one peer.
 #pragma once
 
-#include "celeryline/Heartbeat.h"
-#include "celeryline/RaftMessage.h"
-#include "celeryline/RegistryDelta.h"
+#include "celeryline/consensus/RaftMessage.h"
+#include "celeryline/registry/Heartbeat.h"
+#include "celeryline/registry/RegistryDelta.h"
 
 #include <chrono>
 #include <deque>
--- a/include/celeryline/PeerServer.h
+++ b/include/celeryline/rpc/PeerServer.h
@@ -2,7 +2,7 @@
 /// Serves the calls of other entry instances.
 #pragma once
 
-#include "celeryline/PeerHandler.h"
+#include "celeryline/rpc/PeerHandler.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/PeerService.h
+++ b/include/celeryline/rpc/PeerService.h
@@ -2,8 +2,8 @@
 /// The server side of the RPC schema.
 #pragma once
 
-#include "celeryline/PeerHandler.h"
-#include "celeryline/WorkerPool.h"
+#include "celeryline/base/WorkerPool.h"
+#include "celeryline/rpc/PeerHandler.h"
 
 #include <Peer.capnp.h>
 
--- a/include/celeryline/RegistryRunner.h
+++ b/include/celeryline/rpc/RegistryRunner.h
@@ -2,10 +2,10 @@
 /// The threads that keep the upstream registry up to date.
 #pragma once
 
-#include "celeryline/Clock.h"
-#include "celeryline/PeerTransport.h"
-#include "celeryline/PeriodicThread.h"
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/registry/UpstreamRegistry.h"
+#include "celeryline/settings/PeriodicThread.h"
 
 #include <string>
 #include <vector>
--- a/include/celeryline/RpcConversion.h
+++ b/include/celeryline/rpc/RpcConversion.h
@@ -2,14 +2,14 @@
 /// Conversion between celeryline's structs and those of the RPC schema.
 #pragma once
 
-#include "celeryline/Command.h"
-#include "celeryline/CommandResult.h"
-#include "celeryline/CreditRequest.h"
-#include "celeryline/Error.h"
-#include "celeryline/Heartbeat.h"
-#include "celeryline/Hello.h"
-#include "celeryline/RaftMessage.h"
-#include "celeryline/RegistryDelta.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/consensus/Command.h"
+#include "celeryline/consensus/CommandResult.h"
+#include "celeryline/consensus/Hello.h"
+#include "celeryline/consensus/RaftMessage.h"
+#include "celeryline/registry/CreditRequest.h"
+#include "celeryline/registry/Heartbeat.h"
+#include "celeryline/registry/RegistryDelta.h"
 
 #include <Peer.capnp.h>
 
--- a/include/celeryline/RpcTransport.h
+++ b/include/celeryline/rpc/RpcTransport.h
@@ -2,8 +2,8 @@
 /// Calls to other entry instances over Cap'n Proto RPC.
 #pragma once
 
-#include "celeryline/PeerTransport.h"
-#include "celeryline/Settings.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/settings/Settings.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/Logging.h
+++ b/include/celeryline/settings/Logging.h
@@ -2,7 +2,7 @@
 /// Set-up of the log.
 #pragma once
 
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
 #include <log4cxx/logger.h>
 
--- a/include/celeryline/PeriodicThread.h
+++ b/include/celeryline/settings/PeriodicThread.h
@@ -2,7 +2,7 @@
 /// A thread that repeats one task.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <condition_variable>
 #include <functional>
--- a/include/celeryline/Settings.h
+++ b/include/celeryline/settings/Settings.h
@@ -2,7 +2,7 @@
 /// The settings of one process, read from JSON with comments.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/SettingsTable.h
+++ b/include/celeryline/settings/SettingsTable.h
@@ -2,7 +2,7 @@
 /// The table of scalar settings: the single source for checks, defaults and documentation.
 #pragma once
 
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
 #include <functional>
 #include <string>
--- a/include/celeryline/DiskFileSystem.h
+++ b/include/celeryline/storage/DiskFileSystem.h
@@ -2,7 +2,7 @@
 /// File operations on the disk.
 #pragma once
 
-#include "celeryline/FileSystem.h"
+#include "celeryline/storage/FileSystem.h"
 
 namespace celeryline {
 
--- a/include/celeryline/LogEntry.h
+++ b/include/celeryline/storage/LogEntry.h
@@ -2,7 +2,7 @@
 /// One record of the replicated log.
 #pragma once
 
-#include "celeryline/Millis.h"
+#include "celeryline/base/Millis.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/LogStorage.h
+++ b/include/celeryline/storage/LogStorage.h
@@ -2,8 +2,8 @@
 /// The durable log.
 #pragma once
 
-#include "celeryline/FileSystem.h"
-#include "celeryline/LogEntry.h"
+#include "celeryline/storage/FileSystem.h"
+#include "celeryline/storage/LogEntry.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/celeryline/SnapshotStorage.h
+++ b/include/celeryline/storage/SnapshotStorage.h
@@ -2,7 +2,7 @@
 /// Durable snapshots.
 #pragma once
 
-#include "celeryline/FileSystem.h"
+#include "celeryline/storage/FileSystem.h"
 
 #include <cstdint>
 #include <string>
--- a/include/celeryline/ScopedSpan.h
+++ b/include/celeryline/tracing/ScopedSpan.h
@@ -2,7 +2,7 @@
 /// A span that ends with its scope.
 #pragma once
 
-#include "celeryline/SpanExporter.h"
+#include "celeryline/tracing/SpanExporter.h"
 
 #include <optional>
 #include <string>
--- a/include/celeryline/Span.h
+++ b/include/celeryline/tracing/Span.h
@@ -2,7 +2,7 @@
 /// One timed operation of a trace.
 #pragma once
 
-#include "celeryline/TraceContext.h"
+#include "celeryline/tracing/TraceContext.h"
 
 #include <cstdint>
 #include <map>
--- a/include/celeryline/SpanExporter.h
+++ b/include/celeryline/tracing/SpanExporter.h
@@ -2,8 +2,8 @@
 /// Writes spans to a file or sends them to a collector.
 #pragma once
 
-#include "celeryline/Settings.h"
-#include "celeryline/Span.h"
+#include "celeryline/settings/Settings.h"
+#include "celeryline/tracing/Span.h"
 
 #include <condition_variable>
 #include <cstdint>
--- a/src/Base64.cpp
+++ b/src/base/Base64.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Base64.h"
+#include "celeryline/base/Base64.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <Poco/Base64Decoder.h>
 #include <Poco/Base64Encoder.h>
--- a/src/EditDistance.cpp
+++ b/src/base/EditDistance.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/EditDistance.h"
+#include "celeryline/base/EditDistance.h"
 
 #include <algorithm>
 #include <numeric>
--- a/src/JsonComments.cpp
+++ b/src/base/JsonComments.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/JsonComments.h"
+#include "celeryline/base/JsonComments.h"
 
 #include <algorithm>
 
--- a/src/Metrics.cpp
+++ b/src/base/Metrics.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/Metrics.h"
+#include "celeryline/base/Metrics.h"
 
 #include <prometheus/text_serializer.h>
 
--- a/src/SocketOptions.cpp
+++ b/src/base/SocketOptions.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/SocketOptions.h"
+#include "celeryline/base/SocketOptions.h"
 
 #include <linux/tcp.h>
 #include <netinet/in.h>
--- a/src/WorkerPool.cpp
+++ b/src/base/WorkerPool.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/WorkerPool.h"
+#include "celeryline/base/WorkerPool.h"
 
 namespace celeryline {
 
--- a/src/AnswerParser.cpp
+++ b/src/calls/AnswerParser.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/AnswerParser.h"
+#include "celeryline/calls/AnswerParser.h"
 
 #include <Poco/String.h>
 
--- a/src/BodyReader.cpp
+++ b/src/calls/BodyReader.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/BodyReader.h"
+#include "celeryline/calls/BodyReader.h"
 
-#include "celeryline/CallRefused.h"
+#include "celeryline/calls/CallRefused.h"
 
 #include <Poco/NumberParser.h>
 #include <Poco/String.h>
--- a/src/CallEndpoint.cpp
+++ b/src/calls/CallEndpoint.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/CallEndpoint.h"
+#include "celeryline/calls/CallEndpoint.h"
 
-#include "celeryline/CallRefused.h"
-#include "celeryline/RoleGuard.h"
+#include "celeryline/calls/CallRefused.h"
+#include "celeryline/http/RoleGuard.h"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/String.h>
--- a/src/CallHandler.cpp
+++ b/src/calls/CallHandler.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/CallHandler.h"
+#include "celeryline/calls/CallHandler.h"
 
-#include "celeryline/RoleGuard.h"
+#include "celeryline/http/RoleGuard.h"
 
 #include <Poco/String.h>
 
--- a/src/CallReader.cpp
+++ b/src/calls/CallReader.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/CallReader.h"
+#include "celeryline/calls/CallReader.h"
 
-#include "celeryline/BodyReader.h"
-#include "celeryline/CallRefused.h"
-#include "celeryline/RoleGuard.h"
+#include "celeryline/calls/BodyReader.h"
+#include "celeryline/calls/CallRefused.h"
+#include "celeryline/http/RoleGuard.h"
 
 #include <Poco/Exception.h>
 #include <Poco/String.h>
--- a/src/ClaimClient.cpp
+++ b/src/calls/ClaimClient.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/ClaimClient.h"
+#include "celeryline/calls/ClaimClient.h"
 
-#include "celeryline/Base64.h"
-#include "celeryline/ByteCoding.h"
-#include "celeryline/ClaimLedger.h"
-#include "celeryline/Error.h"
+#include "celeryline/base/Base64.h"
+#include "celeryline/base/ByteCoding.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/ClaimLedger.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
--- a/src/CreditShare.cpp
+++ b/src/calls/CreditShare.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/CreditShare.h"
+#include "celeryline/calls/CreditShare.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/RouteTable.cpp
+++ b/src/calls/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/RouteTable.h"
+#include "celeryline/calls/RouteTable.h"
 
 #include <algorithm>
 #include <sstream>
--- a/src/RouterLoans.cpp
+++ b/src/calls/RouterLoans.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Error.h"
-#include "celeryline/Router.h"
-#include "celeryline/RoutingState.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/calls/Router.h"
+#include "celeryline/calls/RoutingState.h"
 
 #include <algorithm>
 
--- a/src/RunnerConnection.cpp
+++ b/src/calls/RunnerConnection.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/RunnerConnection.h"
+#include "celeryline/calls/RunnerConnection.h"
 
-#include "celeryline/AnswerParser.h"
+#include "celeryline/calls/AnswerParser.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
--- a/src/RunnerCredits.cpp
+++ b/src/calls/RunnerCredits.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/RunnerCredits.h"
+#include "celeryline/calls/RunnerCredits.h"
 
 #include <algorithm>
 
--- a/src/ServiceQueue.cpp
+++ b/src/calls/ServiceQueue.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/ServiceQueue.h"
+#include "celeryline/calls/ServiceQueue.h"
 
 namespace celeryline {
 
--- a/src/SlotCredits.cpp
+++ b/src/calls/SlotCredits.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/SlotCredits.h"
+#include "celeryline/calls/SlotCredits.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/CheckConfigCommand.cpp
+++ b/src/cli/CheckConfigCommand.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/CheckConfigCommand.h"
+#include "celeryline/cli/CheckConfigCommand.h"
 
-#include "celeryline/CommandLine.h"
-#include "celeryline/Settings.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/settings/Settings.h"
 
 #include <iostream>
 
--- a/src/CliApply.cpp
+++ b/src/cli/CliApply.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/CliClient.h"
-#include "celeryline/CliCommands.h"
-#include "celeryline/CliOutput.h"
-#include "celeryline/CommandLine.h"
-#include "celeryline/JsonComments.h"
-#include "celeryline/JsonFields.h"
+#include "celeryline/base/JsonComments.h"
+#include "celeryline/cli/CliClient.h"
+#include "celeryline/cli/CliCommands.h"
+#include "celeryline/cli/CliOutput.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
--- a/src/CliClient.cpp
+++ b/src/cli/CliClient.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/CliClient.h"
+#include "celeryline/cli/CliClient.h"
 
-#include "celeryline/CommandLine.h"
-#include "celeryline/JsonFields.h"
-#include "celeryline/OperatorCommands.h"
-#include "celeryline/RoleGuard.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/http/RoleGuard.h"
+#include "celeryline/labels/JsonFields.h"
+#include "celeryline/operators/OperatorCommands.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/CliCompletion.cpp
+++ b/src/cli/CliCompletion.cpp
@@ -1,5 +1,5 @@
-#include "celeryline/CliCommands.h"
-#include "celeryline/CommandLine.h"
+#include "celeryline/cli/CliCommands.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <iostream>
 
--- a/src/CliGet.cpp
+++ b/src/cli/CliGet.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/CliClient.h"
-#include "celeryline/CliCommands.h"
-#include "celeryline/CliOutput.h"
-#include "celeryline/CommandLine.h"
+#include "celeryline/cli/CliClient.h"
+#include "celeryline/cli/CliCommands.h"
+#include "celeryline/cli/CliOutput.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <iostream>
 
--- a/src/CliOutput.cpp
+++ b/src/cli/CliOutput.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/CliOutput.h"
+#include "celeryline/cli/CliOutput.h"
 
-#include "celeryline/CommandLine.h"
-#include "celeryline/EditDistance.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <Poco/JSON/Stringifier.h>
 #include <Poco/String.h>
--- a/src/CommandLine.cpp
+++ b/src/cli/CommandLine.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/CommandLine.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <boost/program_options/parsers.hpp>
 
--- a/src/LogFormation.cpp
+++ b/src/consensus/LogFormation.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/LogFormation.h"
+#include "celeryline/consensus/LogFormation.h"
 
-#include "celeryline/ByteCodec.h"
-#include "celeryline/Logging.h"
-#include "celeryline/VoterConfiguration.h"
+#include "celeryline/base/ByteCodec.h"
+#include "celeryline/consensus/VoterConfiguration.h"
+#include "celeryline/settings/Logging.h"
 
 #include <random>
 
--- a/src/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/RaftCore.h"
+#include "celeryline/consensus/RaftCore.h"
 
-#include "celeryline/LogInvariant.h"
+#include "celeryline/base/LogInvariant.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/RaftElection.cpp
+++ b/src/consensus/RaftElection.cpp
@@ -1,6 +1,6 @@
 // Elections: pre-vote, votes, leadership transfer to this replica.
-#include "celeryline/LogInvariant.h"
-#include "celeryline/RaftCore.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/consensus/RaftCore.h"
 
 namespace celeryline {
 namespace {
--- a/src/RaftFollower.cpp
+++ b/src/consensus/RaftFollower.cpp
@@ -1,7 +1,7 @@
 // Followers and learners: entries and snapshots from the leader.
-#include "celeryline/Error.h"
-#include "celeryline/LogInvariant.h"
-#include "celeryline/RaftCore.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/consensus/RaftCore.h"
 
 #include <algorithm>
 
--- a/src/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -1,6 +1,6 @@
 // The leader: replication, commits, membership repair, leadership transfer.
-#include "celeryline/LogInvariant.h"
-#include "celeryline/RaftCore.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/consensus/RaftCore.h"
 
 #include <algorithm>
 
--- a/src/RaftLog.cpp
+++ b/src/consensus/RaftLog.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/RaftLog.h"
+#include "celeryline/consensus/RaftLog.h"
 
-#include "celeryline/LogInvariant.h"
+#include "celeryline/base/LogInvariant.h"
 
 #include <algorithm>
 
--- a/src/RaftStorage.cpp
+++ b/src/consensus/RaftStorage.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/RaftStorage.h"
+#include "celeryline/consensus/RaftStorage.h"
 
-#include "celeryline/ByteCodec.h"
-#include "celeryline/LogInvariant.h"
-#include "celeryline/Logging.h"
+#include "celeryline/base/ByteCodec.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/settings/Logging.h"
 
 #include <random>
 
--- a/src/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -1,10 +1,10 @@
-#include "celeryline/ReplicatedLog.h"
+#include "celeryline/consensus/ReplicatedLog.h"
 
-#include "celeryline/CommandCodec.h"
-#include "celeryline/Error.h"
-#include "celeryline/LogFormation.h"
-#include "celeryline/LogInvariant.h"
-#include "celeryline/Logging.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/consensus/CommandCodec.h"
+#include "celeryline/consensus/LogFormation.h"
+#include "celeryline/settings/Logging.h"
 
 #include <algorithm>
 
--- a/src/ReplicatedLogCalls.cpp
+++ b/src/consensus/ReplicatedLogCalls.cpp
@@ -1,8 +1,8 @@
 // The blocking calls of ReplicatedLog: submitting commands and forming the log.
-#include "celeryline/Error.h"
-#include "celeryline/LogFormation.h"
-#include "celeryline/Logging.h"
-#include "celeryline/ReplicatedLog.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/consensus/LogFormation.h"
+#include "celeryline/consensus/ReplicatedLog.h"
+#include "celeryline/settings/Logging.h"
 
 #include <algorithm>
 
--- a/src/Snapshot.cpp
+++ b/src/consensus/Snapshot.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Snapshot.h"
+#include "celeryline/consensus/Snapshot.h"
 
-#include "celeryline/ByteCodec.h"
+#include "celeryline/base/ByteCodec.h"
 
 #include <xxhash.h>
 
--- a/src/VoterConfiguration.cpp
+++ b/src/consensus/VoterConfiguration.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/VoterConfiguration.h"
+#include "celeryline/consensus/VoterConfiguration.h"
 
-#include "celeryline/ByteCodec.h"
+#include "celeryline/base/ByteCodec.h"
 
 #include <algorithm>
 
--- a/src/Admission.cpp
+++ b/src/decisions/Admission.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Admission.h"
+#include "celeryline/decisions/Admission.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 
--- a/src/CapacityIndex.cpp
+++ b/src/decisions/CapacityIndex.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/CapacityIndex.h"
+#include "celeryline/decisions/CapacityIndex.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/Instructions.cpp
+++ b/src/decisions/Instructions.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/Instructions.h"
+#include "celeryline/decisions/Instructions.h"
 
 #include <algorithm>
 
--- a/src/JobBacklog.cpp
+++ b/src/decisions/JobBacklog.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/JobBacklog.h"
+#include "celeryline/decisions/JobBacklog.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <unordered_set>
 
--- a/src/JobPlacement.cpp
+++ b/src/decisions/JobPlacement.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/JobPlacement.h"
+#include "celeryline/decisions/JobPlacement.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <queue>
--- a/src/JobPressure.cpp
+++ b/src/decisions/JobPressure.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/JobPressure.h"
+#include "celeryline/decisions/JobPressure.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 
--- a/src/MovePlan.cpp
+++ b/src/decisions/MovePlan.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/MovePlan.h"
+#include "celeryline/decisions/MovePlan.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/SizeEstimator.cpp
+++ b/src/decisions/SizeEstimator.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/SizeEstimator.h"
+#include "celeryline/decisions/SizeEstimator.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/SlotLending.cpp
+++ b/src/decisions/SlotLending.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/SlotLending.h"
+#include "celeryline/decisions/SlotLending.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/StopBudget.cpp
+++ b/src/decisions/StopBudget.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/StopBudget.h"
+#include "celeryline/decisions/StopBudget.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 
--- a/src/WavePlan.cpp
+++ b/src/decisions/WavePlan.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/WavePlan.h"
+#include "celeryline/decisions/WavePlan.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/WorkerHealth.cpp
+++ b/src/decisions/WorkerHealth.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/WorkerHealth.h"
+#include "celeryline/decisions/WorkerHealth.h"
 
-#include "celeryline/Invariant.h"
+#include "celeryline/base/Invariant.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/ClaimLedger.cpp
+++ b/src/fleet/ClaimLedger.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/ClaimLedger.h"
+#include "celeryline/fleet/ClaimLedger.h"
 
-#include "celeryline/Base64.h"
-#include "celeryline/ByteCoding.h"
-#include "celeryline/Error.h"
+#include "celeryline/base/Base64.h"
+#include "celeryline/base/ByteCoding.h"
+#include "celeryline/base/Error.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
--- a/src/FleetApply.cpp
+++ b/src/fleet/FleetApply.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/FleetApply.h"
+#include "celeryline/fleet/FleetApply.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/FleetOperations.h"
-#include "celeryline/JsonFields.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetOperations.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/Exception.h>
 
--- a/src/FleetCodec.cpp
+++ b/src/fleet/FleetCodec.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FleetCodec.h"
+#include "celeryline/fleet/FleetCodec.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <Poco/Exception.h>
 
--- a/src/FleetCommand.cpp
+++ b/src/fleet/FleetCommand.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/FleetCommand.h"
+#include "celeryline/fleet/FleetCommand.h"
 
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/JsonFields.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/String.h>
 
--- a/src/FleetDifference.cpp
+++ b/src/fleet/FleetDifference.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FleetDifference.h"
+#include "celeryline/fleet/FleetDifference.h"
 
-#include "celeryline/FleetCodec.h"
+#include "celeryline/fleet/FleetCodec.h"
 
 #include <Poco/JSON/Stringifier.h>
 
--- a/src/FleetDraft.cpp
+++ b/src/fleet/FleetDraft.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/FleetDraft.h"
+#include "celeryline/fleet/FleetDraft.h"
 
 namespace celeryline::detail {
 
--- a/src/FleetInstanceOperations.cpp
+++ b/src/fleet/FleetInstanceOperations.cpp
@@ -1,5 +1,5 @@
-#include "celeryline/FleetOperations.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/fleet/FleetOperations.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <algorithm>
 
--- a/src/FleetJobOperations.cpp
+++ b/src/fleet/FleetJobOperations.cpp
@@ -1,5 +1,5 @@
-#include "celeryline/FleetCodec.h"
-#include "celeryline/FleetOperations.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/FleetOperations.h"
 
 #include <algorithm>
 
--- a/src/FleetObjectOperations.cpp
+++ b/src/fleet/FleetObjectOperations.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FleetOperations.h"
-#include "celeryline/JsonFields.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/fleet/FleetOperations.h"
+#include "celeryline/fleet/PoolMembership.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <set>
 
--- a/src/FleetViews.cpp
+++ b/src/fleet/FleetViews.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/FleetViews.h"
+#include "celeryline/fleet/FleetViews.h"
 
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/FleetWaveOperations.cpp
+++ b/src/fleet/FleetWaveOperations.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FleetCodec.h"
-#include "celeryline/FleetOperations.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/FleetOperations.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <algorithm>
 
--- a/src/PoolMembership.cpp
+++ b/src/fleet/PoolMembership.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/PoolMembership.h"
+#include "celeryline/fleet/PoolMembership.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <algorithm>
 
--- a/src/ReplicatedState.cpp
+++ b/src/fleet/ReplicatedState.cpp
@@ -1,10 +1,10 @@
-#include "celeryline/ReplicatedState.h"
+#include "celeryline/fleet/ReplicatedState.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/FleetApply.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/JsonFields.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetApply.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/PoolMembership.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
--- a/src/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/HttpConnection.h"
+#include "celeryline/http/HttpConnection.h"
 
-#include "celeryline/Clock.h"
-#include "celeryline/Error.h"
-#include "celeryline/HttpErrors.h"
-#include "celeryline/Logging.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/http/HttpErrors.h"
+#include "celeryline/settings/Logging.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
--- a/src/HttpErrors.cpp
+++ b/src/http/HttpErrors.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/HttpErrors.h"
+#include "celeryline/http/HttpErrors.h"
 
 #include <Poco/JSON/Object.h>
 
--- a/src/ProbeEndpoint.cpp
+++ b/src/http/ProbeEndpoint.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/ProbeEndpoint.h"
+#include "celeryline/http/ProbeEndpoint.h"
 
 #include <string>
 
--- a/src/RoleGuard.cpp
+++ b/src/http/RoleGuard.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/RoleGuard.h"
+#include "celeryline/http/RoleGuard.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/HttpErrors.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/http/HttpErrors.h"
 
 #include <Poco/String.h>
 
--- a/src/JsonFields.cpp
+++ b/src/labels/JsonFields.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/JsonFields.h"
+#include "celeryline/labels/JsonFields.h"
 
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Parser.h>
--- a/src/AnnounceEndpoint.cpp
+++ b/src/operators/AnnounceEndpoint.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/AnnounceEndpoint.h"
+#include "celeryline/operators/AnnounceEndpoint.h"
 
-#include "celeryline/AnnouncementJson.h"
-#include "celeryline/Error.h"
-#include "celeryline/HttpErrors.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/http/HttpErrors.h"
+#include "celeryline/registry/AnnouncementJson.h"
 
 #include <Poco/JSON/Object.h>
 #include <Poco/NumberParser.h>
--- a/src/Explain.cpp
+++ b/src/operators/Explain.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/Explain.h"
+#include "celeryline/operators/Explain.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <algorithm>
 
--- a/src/MaintenanceController.cpp
+++ b/src/operators/MaintenanceController.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/MaintenanceController.h"
+#include "celeryline/operators/MaintenanceController.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
-#include "celeryline/OperatorCommands.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/operators/OperatorCommands.h"
+#include "celeryline/settings/Logging.h"
 
 namespace celeryline {
 
--- a/src/OperatorApi.cpp
+++ b/src/operators/OperatorApi.cpp
@@ -1,12 +1,12 @@
-#include "celeryline/OperatorApi.h"
-
-#include "celeryline/Error.h"
-#include "celeryline/Explain.h"
-#include "celeryline/FleetApply.h"
-#include "celeryline/FleetDifference.h"
-#include "celeryline/HttpErrors.h"
-#include "celeryline/JsonFields.h"
-#include "celeryline/Logging.h"
+#include "celeryline/operators/OperatorApi.h"
+
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetApply.h"
+#include "celeryline/fleet/FleetDifference.h"
+#include "celeryline/http/HttpErrors.h"
+#include "celeryline/labels/JsonFields.h"
+#include "celeryline/operators/Explain.h"
+#include "celeryline/settings/Logging.h"
 
 #include <Poco/NumberParser.h>
 #include <Poco/URI.h>
--- a/src/OperatorCommands.cpp
+++ b/src/operators/OperatorCommands.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/OperatorCommands.h"
+#include "celeryline/operators/OperatorCommands.h"
 
-#include "celeryline/FleetCodec.h"
-#include "celeryline/JsonFields.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <Poco/UUIDGenerator.h>
 
--- a/src/UpstreamObserver.cpp
+++ b/src/operators/UpstreamObserver.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/UpstreamObserver.h"
+#include "celeryline/operators/UpstreamObserver.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
-#include "celeryline/OperatorCommands.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/operators/OperatorCommands.h"
+#include "celeryline/settings/Logging.h"
 
 #include <algorithm>
 
--- a/src/ProcessGauges.cpp
+++ b/src/process/ProcessGauges.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/ProcessGauges.h"
+#include "celeryline/process/ProcessGauges.h"
 
 namespace celeryline {
 
--- a/src/ServeCommand.cpp
+++ b/src/process/ServeCommand.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/ServeCommand.h"
+#include "celeryline/process/ServeCommand.h"
 
-#include "celeryline/CommandLine.h"
-#include "celeryline/EntryInstance.h"
-#include "celeryline/Logging.h"
-#include "celeryline/Settings.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/process/EntryInstance.h"
+#include "celeryline/settings/Logging.h"
+#include "celeryline/settings/Settings.h"
 
 #include <csignal>
 
--- a/src/Subcommand.cpp
+++ b/src/process/Subcommand.cpp
@@ -1,11 +1,11 @@
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/Subcommand.h"
 
-#include "celeryline/CheckConfigCommand.h"
-#include "celeryline/CliCommands.h"
-#include "celeryline/CommandLine.h"
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
-#include "celeryline/ServeCommand.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/cli/CheckConfigCommand.h"
+#include "celeryline/cli/CliCommands.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/process/ServeCommand.h"
 
 #include <algorithm>
 #include <iostream>
--- a/src/AnnouncementJson.cpp
+++ b/src/registry/AnnouncementJson.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/AnnouncementJson.h"
+#include "celeryline/registry/AnnouncementJson.h"
 
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
-#include "celeryline/Selector.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/labels/Selector.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
--- a/src/UpstreamClaims.cpp
+++ b/src/registry/UpstreamClaims.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/UpstreamClaims.h"
+#include "celeryline/registry/UpstreamClaims.h"
 
 #include <cstdlib>
 #include <tuple>
--- a/src/UpstreamRegistryPeers.cpp
+++ b/src/registry/UpstreamRegistryPeers.cpp
@@ -1,5 +1,5 @@
 // The part of UpstreamRegistry that deals with the other entry instances of the data centre.
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/registry/UpstreamRegistry.h"
 
 #include <algorithm>
 #include <set>
--- a/src/PackedStream.cpp
+++ b/src/rpc/PackedStream.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/PackedStream.h"
+#include "celeryline/rpc/PackedStream.h"
 
 #include <capnp/serialize-packed.h>
 
--- a/src/PeerCall.cpp
+++ b/src/rpc/PeerCall.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/PeerCall.h"
+#include "celeryline/rpc/PeerCall.h"
 
 #include <algorithm>
 
--- a/src/PeerLink.cpp
+++ b/src/rpc/PeerLink.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/PeerLink.h"
+#include "celeryline/rpc/PeerLink.h"
 
-#include "celeryline/Logging.h"
-#include "celeryline/PackedStream.h"
-#include "celeryline/RpcConversion.h"
+#include "celeryline/rpc/PackedStream.h"
+#include "celeryline/rpc/RpcConversion.h"
+#include "celeryline/settings/Logging.h"
 
 #include <Poco/Net/SocketAddress.h>
 #include <capnp/rpc-twoparty.h>
--- a/src/PeerMonitor.cpp
+++ b/src/rpc/PeerMonitor.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/PeerMonitor.h"
+#include "celeryline/rpc/PeerMonitor.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/PeerQueue.cpp
+++ b/src/rpc/PeerQueue.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/PeerQueue.h"
+#include "celeryline/rpc/PeerQueue.h"
 
 #include <algorithm>
 
--- a/src/PeerServer.cpp
+++ b/src/rpc/PeerServer.cpp
@@ -1,11 +1,11 @@
-#include "celeryline/PeerServer.h"
-
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
-#include "celeryline/PackedStream.h"
-#include "celeryline/PeerService.h"
-#include "celeryline/RpcLoop.h"
-#include "celeryline/SocketOptions.h"
+#include "celeryline/rpc/PeerServer.h"
+
+#include "celeryline/base/Error.h"
+#include "celeryline/base/SocketOptions.h"
+#include "celeryline/rpc/PackedStream.h"
+#include "celeryline/rpc/PeerService.h"
+#include "celeryline/rpc/RpcLoop.h"
+#include "celeryline/settings/Logging.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
--- a/src/PeerService.cpp
+++ b/src/rpc/PeerService.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/PeerService.h"
+#include "celeryline/rpc/PeerService.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
-#include "celeryline/RoleGuard.h"
-#include "celeryline/RpcConversion.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/http/RoleGuard.h"
+#include "celeryline/rpc/RpcConversion.h"
+#include "celeryline/settings/Logging.h"
 
 #include <exception>
 #include <memory>
--- a/src/RegistryRunner.cpp
+++ b/src/rpc/RegistryRunner.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/RegistryRunner.h"
+#include "celeryline/rpc/RegistryRunner.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/settings/Logging.h"
 
 namespace celeryline {
 
--- a/src/RpcLoop.cpp
+++ b/src/rpc/RpcLoop.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/RpcLoop.h"
+#include "celeryline/rpc/RpcLoop.h"
 
-#include "celeryline/Logging.h"
+#include "celeryline/settings/Logging.h"
 
 #include <exception>
 #include <future>
--- a/src/RpcTransport.cpp
+++ b/src/rpc/RpcTransport.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/RpcTransport.h"
+#include "celeryline/rpc/RpcTransport.h"
 
-#include "celeryline/Logging.h"
-#include "celeryline/PeerLink.h"
-#include "celeryline/RpcConversion.h"
+#include "celeryline/rpc/PeerLink.h"
+#include "celeryline/rpc/RpcConversion.h"
+#include "celeryline/settings/Logging.h"
 
 #include <atomic>
 #include <map>
--- a/src/Logging.cpp
+++ b/src/settings/Logging.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/Logging.h"
+#include "celeryline/settings/Logging.h"
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
--- a/src/PeriodicThread.cpp
+++ b/src/settings/PeriodicThread.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/PeriodicThread.h"
+#include "celeryline/settings/PeriodicThread.h"
 
-#include "celeryline/Logging.h"
+#include "celeryline/settings/Logging.h"
 
 #include <exception>
 
--- a/src/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
-#include "celeryline/EditDistance.h"
-#include "celeryline/Error.h"
-#include "celeryline/JsonComments.h"
-#include "celeryline/SettingsTable.h"
+#include "celeryline/base/EditDistance.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/base/JsonComments.h"
+#include "celeryline/settings/SettingsTable.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
--- a/src/SettingsTable.cpp
+++ b/src/settings/SettingsTable.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/SettingsTable.h"
+#include "celeryline/settings/SettingsTable.h"
 
 namespace celeryline::detail {
 
--- a/src/DiskFileSystem.cpp
+++ b/src/storage/DiskFileSystem.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/DiskFileSystem.h"
+#include "celeryline/storage/DiskFileSystem.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/src/FileSystem.cpp
+++ b/src/storage/FileSystem.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/FileSystem.h"
+#include "celeryline/storage/FileSystem.h"
 
-#include "celeryline/ByteCodec.h"
+#include "celeryline/base/ByteCodec.h"
 
 #include <xxhash.h>
 
--- a/src/LogStorage.cpp
+++ b/src/storage/LogStorage.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/LogStorage.h"
+#include "celeryline/storage/LogStorage.h"
 
-#include "celeryline/ByteCodec.h"
-#include "celeryline/LogInvariant.h"
-#include "celeryline/Logging.h"
-#include "celeryline/SegmentName.h"
+#include "celeryline/base/ByteCodec.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/settings/Logging.h"
+#include "celeryline/storage/SegmentName.h"
 
 #include <xxhash.h>
 
--- a/src/SnapshotStorage.cpp
+++ b/src/storage/SnapshotStorage.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/SnapshotStorage.h"
+#include "celeryline/storage/SnapshotStorage.h"
 
-#include "celeryline/SegmentName.h"
+#include "celeryline/storage/SegmentName.h"
 
 namespace celeryline {
 namespace {
--- a/src/SpanExporter.cpp
+++ b/src/tracing/SpanExporter.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/SpanExporter.h"
+#include "celeryline/tracing/SpanExporter.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/Logging.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/settings/Logging.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
--- a/src/TraceContext.cpp
+++ b/src/tracing/TraceContext.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/TraceContext.h"
+#include "celeryline/tracing/TraceContext.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/test/AdmissionTest.cpp
+++ b/test/AdmissionTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/Admission.h"
+#include "celeryline/decisions/Admission.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/AnnounceEndpointTest.cpp
+++ b/test/AnnounceEndpointTest.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/AnnounceEndpoint.h"
+#include "celeryline/operators/AnnounceEndpoint.h"
 
-#include "celeryline/AnnouncementJson.h"
-#include "celeryline/Error.h"
-#include "celeryline/HttpServer.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/http/HttpServer.h"
+#include "celeryline/registry/AnnouncementJson.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/test/CallKit.h
+++ b/test/CallKit.h
@@ -2,10 +2,10 @@
 /// Fakes for tests of the request path.
 #pragma once
 
-#include "celeryline/CallEndpoint.h"
-#include "celeryline/ClaimLedger.h"
-#include "celeryline/Error.h"
-#include "celeryline/HttpServer.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/calls/CallEndpoint.h"
+#include "celeryline/fleet/ClaimLedger.h"
+#include "celeryline/http/HttpServer.h"
 
 #include <functional>
 #include <memory>
--- a/test/ClaimLedgerTest.cpp
+++ b/test/ClaimLedgerTest.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/ClaimLedger.h"
+#include "celeryline/fleet/ClaimLedger.h"
 
-#include "celeryline/Base64.h"
-#include "celeryline/Error.h"
+#include "celeryline/base/Base64.h"
+#include "celeryline/base/Error.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/CounterState.h
+++ b/test/CounterState.h
@@ -2,8 +2,8 @@
 /// A small replicated state for tests of the log.
 #pragma once
 
-#include "celeryline/Error.h"
-#include "celeryline/StateMachine.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/consensus/StateMachine.h"
 
 #include <map>
 #include <mutex>
--- a/test/FairQueueTest.cpp
+++ b/test/FairQueueTest.cpp
@@ -1,5 +1,5 @@
-#include "celeryline/FairQueue.h"
-#include "celeryline/RetryBudget.h"
+#include "celeryline/calls/FairQueue.h"
+#include "celeryline/calls/RetryBudget.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/FleetFixture.h
+++ b/test/FleetFixture.h
@@ -2,9 +2,9 @@
 /// Fleet commands and states for tests.
 #pragma once
 
-#include "celeryline/FleetApply.h"
-#include "celeryline/FleetCommand.h"
-#include "celeryline/ReplicatedState.h"
+#include "celeryline/fleet/FleetApply.h"
+#include "celeryline/fleet/FleetCommand.h"
+#include "celeryline/fleet/ReplicatedState.h"
 
 #include <string>
 
--- a/test/FleetRandomTest.cpp
+++ b/test/FleetRandomTest.cpp
@@ -1,6 +1,6 @@
 #include "FleetFixture.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/HttpServerTest.cpp
+++ b/test/HttpServerTest.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/HttpServer.h"
+#include "celeryline/http/HttpServer.h"
 
-#include "celeryline/Clock.h"
-#include "celeryline/HttpErrors.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/http/HttpErrors.h"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
--- a/test/JobPlacementTest.cpp
+++ b/test/JobPlacementTest.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/JobPlacement.h"
+#include "celeryline/decisions/JobPlacement.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/JobPressureTest.cpp
+++ b/test/JobPressureTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/JobPressure.h"
+#include "celeryline/decisions/JobPressure.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/LocalStore.h
+++ b/test/LocalStore.h
@@ -2,10 +2,10 @@
 /// Stand-ins for the store and the upstreams in tests.
 #pragma once
 
-#include "celeryline/Error.h"
-#include "celeryline/ReplicatedState.h"
-#include "celeryline/Store.h"
-#include "celeryline/UpstreamView.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/consensus/Store.h"
+#include "celeryline/fleet/ReplicatedState.h"
+#include "celeryline/registry/UpstreamView.h"
 
 #include <memory>
 #include <mutex>
--- a/test/LocalTransport.h
+++ b/test/LocalTransport.h
@@ -2,8 +2,8 @@
 /// Calls between instances in one process.
 #pragma once
 
-#include "celeryline/PeerTransport.h"
-#include "celeryline/ReplicatedLog.h"
+#include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/consensus/ReplicatedLog.h"
 
 #include <map>
 #include <set>
--- a/test/LogStorageTest.cpp
+++ b/test/LogStorageTest.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/LogStorage.h"
+#include "celeryline/storage/LogStorage.h"
 
 #include "MemoryFileSystem.h"
 #include "TemporaryFolder.h"
-#include "celeryline/DiskFileSystem.h"
-#include "celeryline/RaftStorage.h"
+#include "celeryline/consensus/RaftStorage.h"
+#include "celeryline/storage/DiskFileSystem.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/MemoryFileSystem.h
+++ b/test/MemoryFileSystem.h
@@ -2,8 +2,8 @@
 /// A file system in memory with the faults of a real disk.
 #pragma once
 
-#include "celeryline/Error.h"
-#include "celeryline/FileSystem.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/storage/FileSystem.h"
 
 #include <limits>
 #include <map>
--- a/test/MovePlanTest.cpp
+++ b/test/MovePlanTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/MovePlan.h"
+#include "celeryline/decisions/MovePlan.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/NamedMapTest.cpp
+++ b/test/NamedMapTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/NamedMap.h"
+#include "celeryline/base/NamedMap.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/OperatorCliTest.cpp
+++ b/test/OperatorCliTest.cpp
@@ -1,6 +1,6 @@
 #include "OperatorFixture.h"
-#include "celeryline/JsonFields.h"
-#include "celeryline/Subcommand.h"
+#include "celeryline/cli/Subcommand.h"
+#include "celeryline/labels/JsonFields.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/OperatorFixture.h
+++ b/test/OperatorFixture.h
@@ -4,8 +4,8 @@
 
 #include "FleetFixture.h"
 #include "LocalStore.h"
-#include "celeryline/HttpServer.h"
-#include "celeryline/OperatorApi.h"
+#include "celeryline/http/HttpServer.h"
+#include "celeryline/operators/OperatorApi.h"
 
 #include <iostream>
 #include <sstream>
--- a/test/PeerMonitorTest.cpp
+++ b/test/PeerMonitorTest.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/PeerMonitor.h"
+#include "celeryline/rpc/PeerMonitor.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/PeerServer.h"
-#include "celeryline/RegistryRunner.h"
-#include "celeryline/RpcTransport.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/rpc/PeerServer.h"
+#include "celeryline/rpc/RegistryRunner.h"
+#include "celeryline/rpc/RpcTransport.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/RaftCoreTest.cpp
+++ b/test/RaftCoreTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/RaftCore.h"
+#include "celeryline/consensus/RaftCore.h"
 
 #include "RaftSimulation.h"
 
--- a/test/RaftSimulation.cpp
+++ b/test/RaftSimulation.cpp
@@ -1,6 +1,6 @@
 #include "RaftSimulation.h"
 
-#include "celeryline/ByteCodec.h"
+#include "celeryline/base/ByteCodec.h"
 
 #include <algorithm>
 
--- a/test/RaftSimulation.h
+++ b/test/RaftSimulation.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include "MemoryFileSystem.h"
-#include "celeryline/LogInvariant.h"
-#include "celeryline/RaftCore.h"
-#include "celeryline/RaftStorage.h"
+#include "celeryline/base/LogInvariant.h"
+#include "celeryline/consensus/RaftCore.h"
+#include "celeryline/consensus/RaftStorage.h"
 
 #include <functional>
 #include <map>
--- a/test/RegistryConvergenceTest.cpp
+++ b/test/RegistryConvergenceTest.cpp
@@ -1,6 +1,6 @@
 // Seeded runs of several registries that are joined by a network which loses, delays and reorders messages.
-#include "celeryline/Error.h"
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/registry/UpstreamRegistry.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/ReplicatedLogTest.cpp
+++ b/test/ReplicatedLogTest.cpp
@@ -1,10 +1,10 @@
-#include "celeryline/ReplicatedLog.h"
+#include "celeryline/consensus/ReplicatedLog.h"
 
 #include "CounterState.h"
 #include "LocalTransport.h"
 #include "MemoryFileSystem.h"
 #include "TemporaryFolder.h"
-#include "celeryline/DiskFileSystem.h"
+#include "celeryline/storage/DiskFileSystem.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/ReplicatedStateTest.cpp
+++ b/test/ReplicatedStateTest.cpp
@@ -1,9 +1,9 @@
-#include "celeryline/ReplicatedState.h"
+#include "celeryline/fleet/ReplicatedState.h"
 
 #include "FleetFixture.h"
-#include "celeryline/Error.h"
-#include "celeryline/FleetCodec.h"
-#include "celeryline/PoolMembership.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/fleet/FleetCodec.h"
+#include "celeryline/fleet/PoolMembership.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/RoleGuardTest.cpp
+++ b/test/RoleGuardTest.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/RoleGuard.h"
+#include "celeryline/http/RoleGuard.h"
 
-#include "celeryline/HttpErrors.h"
-#include "celeryline/HttpServer.h"
+#include "celeryline/http/HttpErrors.h"
+#include "celeryline/http/HttpServer.h"
 
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
--- a/test/RpcConversionTest.cpp
+++ b/test/RpcConversionTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/RpcConversion.h"
+#include "celeryline/rpc/RpcConversion.h"
 
 #include <capnp/message.h>
 
--- a/test/RpcTransportTest.cpp
+++ b/test/RpcTransportTest.cpp
@@ -1,7 +1,7 @@
-#include "celeryline/RpcTransport.h"
+#include "celeryline/rpc/RpcTransport.h"
 
-#include "celeryline/Error.h"
-#include "celeryline/PeerServer.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/rpc/PeerServer.h"
 
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
--- a/test/ScopedSpanTest.cpp
+++ b/test/ScopedSpanTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/ScopedSpan.h"
+#include "celeryline/tracing/ScopedSpan.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/SelectorTest.cpp
+++ b/test/SelectorTest.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Selector.h"
+#include "celeryline/labels/Selector.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/SettingsTest.cpp
+++ b/test/SettingsTest.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/Settings.h"
+#include "celeryline/settings/Settings.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/SimulatedSite.h
+++ b/test/SimulatedSite.h
@@ -4,11 +4,11 @@
 
 #include "FleetFixture.h"
 #include "LocalStore.h"
-#include "celeryline/Clock.h"
-#include "celeryline/Instructions.h"
-#include "celeryline/MaintenanceController.h"
-#include "celeryline/PoolMembership.h"
-#include "celeryline/UpstreamObserver.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/decisions/Instructions.h"
+#include "celeryline/fleet/PoolMembership.h"
+#include "celeryline/operators/MaintenanceController.h"
+#include "celeryline/operators/UpstreamObserver.h"
 
 #include <functional>
 #include <map>
--- a/test/SlotLendingTest.cpp
+++ b/test/SlotLendingTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/SlotLending.h"
+#include "celeryline/decisions/SlotLending.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/TestClient.h
+++ b/test/TestClient.h
@@ -2,7 +2,7 @@
 /// A caller that writes its requests byte by byte.
 #pragma once
 
-#include "celeryline/AnswerParser.h"
+#include "celeryline/calls/AnswerParser.h"
 
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
--- a/test/UpstreamObserverTest.cpp
+++ b/test/UpstreamObserverTest.cpp
@@ -1,8 +1,8 @@
-#include "celeryline/UpstreamObserver.h"
+#include "celeryline/operators/UpstreamObserver.h"
 
 #include "FleetFixture.h"
 #include "LocalStore.h"
-#include "celeryline/Explain.h"
+#include "celeryline/operators/Explain.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/UpstreamPoolTest.cpp
+++ b/test/UpstreamPoolTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/UpstreamPool.h"
+#include "celeryline/calls/UpstreamPool.h"
 
 #include "ScriptedRunner.h"
 
--- a/test/UpstreamRegistryTest.cpp
+++ b/test/UpstreamRegistryTest.cpp
@@ -1,6 +1,6 @@
-#include "celeryline/UpstreamRegistry.h"
+#include "celeryline/registry/UpstreamRegistry.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/WavePlanTest.cpp
+++ b/test/WavePlanTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/WavePlan.h"
+#include "celeryline/decisions/WavePlan.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
--- a/test/WorkerHealthTest.cpp
+++ b/test/WorkerHealthTest.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/WorkerHealth.h"
+#include "celeryline/decisions/WorkerHealth.h"
 
 #include <catch2/catch.hpp>
 
--- a/test/kit/Announcer.cpp
+++ b/test/kit/Announcer.cpp
@@ -1,6 +1,6 @@
 #include "Announcer.h"
 
-#include "celeryline/Clock.h"
+#include "celeryline/base/Clock.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
--- a/test/kit/Announcer.h
+++ b/test/kit/Announcer.h
@@ -2,7 +2,7 @@
 /// Announces a stand-in upstream and follows the instructions it is given.
 #pragma once
 
-#include "celeryline/Announcement.h"
+#include "celeryline/registry/Announcement.h"
 
 #include <atomic>
 #include <functional>
--- a/test/kit/CheckJournalCommand.cpp
+++ b/test/kit/CheckJournalCommand.cpp
@@ -1,7 +1,7 @@
 #include "KitCommands.h"
 
-#include "celeryline/CommandLine.h"
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <fstream>
 #include <iostream>
--- a/test/kit/LoadCommand.cpp
+++ b/test/kit/LoadCommand.cpp
@@ -1,7 +1,7 @@
 #include "Journal.h"
 #include "KitCommands.h"
 
-#include "celeryline/CommandLine.h"
+#include "celeryline/cli/CommandLine.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/test/kit/StandInRunner.h
+++ b/test/kit/StandInRunner.h
@@ -4,7 +4,7 @@
 
 #include "Journal.h"
 
-#include "celeryline/HttpEndpoint.h"
+#include "celeryline/http/HttpEndpoint.h"
 
 #include <atomic>
 #include <cstdint>
--- a/test/kit/UpstreamsCommand.cpp
+++ b/test/kit/UpstreamsCommand.cpp
@@ -2,10 +2,10 @@
 #include "KitCommands.h"
 #include "StandInRunner.h"
 
-#include "celeryline/Clock.h"
-#include "celeryline/CommandLine.h"
-#include "celeryline/Error.h"
-#include "celeryline/HttpServer.h"
+#include "celeryline/base/Clock.h"
+#include "celeryline/base/Error.h"
+#include "celeryline/cli/CommandLine.h"
+#include "celeryline/http/HttpServer.h"
 
 #include <csignal>
 #include <iostream>
--- a/test/kit/main.cpp
+++ b/test/kit/main.cpp
@@ -1,6 +1,6 @@
 #include "KitCommands.h"
 
-#include "celeryline/Error.h"
+#include "celeryline/base/Error.h"
 
 #include <csignal>
 #include <iostream>
