--- a/include/celeryline/base/Clock.h
+++ b/include/celeryline/base/Clock.h
@@ -5,6 +5,7 @@
 #include "celeryline/base/Millis.h"
 
 #include <atomic>
+#include <ctime>
 
 namespace celeryline {
 
@@ -24,10 +25,13 @@
 /// The clock of the operating system.
 class SystemClock final : public Clock {
 public:
+    /// Counts the time in which the machine was suspended, because leases that others granted or took run on
+    /// during it.
     Millis now() const override
     {
-        auto sinceStart = std::chrono::steady_clock::now().time_since_epoch();
-        return { std::chrono::duration_cast<std::chrono::milliseconds>(sinceStart).count() };
+        timespec time {};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return { static_cast<std::int64_t>(time.tv_sec) * 1000 + time.tv_nsec / 1000000 };
     }
 
     Millis wallTime() const override
--- /dev/null
+++ b/include/celeryline/consensus/LogDriver.h
@@ -0,0 +1,120 @@
+/// @file
+/// Drives a replica of the log on the caller's event loop.
+#pragma once
+
+#include "celeryline/consensus/RaftCore.h"
+#include "celeryline/consensus/RaftStorage.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// The state that a LogDriver replicates. All methods are called in log order from one thread.
+class ReplicatedMachine {
+public:
+    virtual ~ReplicatedMachine() = default;
+
+    /// Applies a committed command. Must be deterministic.
+    /// @param entry an entry of kind Command.
+    virtual void apply(const LogEntry& entry) = 0;
+
+    /// @return the whole state, serialised.
+    virtual std::string takeSnapshot() const = 0;
+
+    /// Replaces the whole state.
+    /// @param bytes what takeSnapshot() gave.
+    virtual void restoreSnapshot(const std::string& bytes) = 0;
+};
+
+/// Constants of a LogDriver.
+struct LogDriverOptions {
+    RaftOptions raft; ///< The storage id of `self` is filled in from the data folder.
+    std::string directory;
+    std::uint64_t snapshotBytes = 4 << 20; ///< A snapshot is taken after so many bytes of commands,
+    std::uint64_t snapshotEntries = 20000; ///< or after so many entries.
+    std::uint64_t keptEntries = 2000; ///< Entries before a snapshot that stay in memory for slow followers.
+};
+
+/// Drives RaftCore with its storage on one thread: the caller gives time, messages and proposals, and calls
+/// begin() and finish() in turn. Messages leave between the two calls, so that followers write to their disks
+/// while this replica writes to its own.
+///
+/// Example: `driver.propose(now, wall, payloads, done); for (auto& m : driver.begin()) send(m);
+/// driver.finish();`
+class LogDriver {
+public:
+    using Callback = std::function<void(bool isCommitted)>;
+
+    /// Reads the data folder and restores the state from its snapshot.
+    /// @param options constants.
+    /// @param files file system of the data folder; must outlive this object.
+    /// @param machine the replicated state; must outlive this object.
+    /// @param now monotonic time.
+    /// @throws Error of kind Corrupt or Storage if the folder can't be read.
+    LogDriver(LogDriverOptions options, FileSystem& files, ReplicatedMachine& machine, Millis now);
+
+    /// Appends commands if this replica leads.
+    /// @param payloads commands.
+    /// @param done called once: with true after the last of them was applied, with false when their fate
+    /// isn't known. Not called if this replica doesn't lead.
+    /// @return whether this replica leads.
+    bool propose(Millis now, Millis wall, const std::vector<std::string>& payloads, Callback done);
+
+    /// @return the messages that are due; finish() must follow.
+    std::vector<RaftMessage> begin();
+
+    /// Makes durable what the log asks for, with at most one sync, and applies what is committed.
+    void finish();
+
+    /// @return whether begin() would have something to do.
+    bool hasWork() const { return m_hasWork; }
+
+    void tick(Millis now);
+    void receive(Millis now, const RaftMessage& message);
+    bool form(const LogEntry& entry);
+    void addPeer(const std::string& name) { m_core->addPeer(name); }
+    bool transferLeadership(Millis now);
+
+    /// @param now monotonic time, read just before the call.
+    /// @return whether this replica leads, no other can, and it has applied what its predecessors committed.
+    bool isLeading(Millis now) const;
+
+    const RaftCore& core() const { return *m_core; }
+    const ReplicaId& self() const { return m_self; }
+
+    /// @return the first entry while it is all that the log holds; nothing otherwise.
+    std::optional<LogEntry> formation() const;
+
+private:
+    struct Waiter {
+        std::uint64_t index = 0;
+        std::uint64_t term = 0;
+        Callback done;
+    };
+
+    void apply(const LogEntry& entry);
+    void endWaiters(std::uint64_t appliedIndex, std::uint64_t term);
+    void failWaiters();
+    void takeSnapshotIfDue();
+    void provideSnapshot();
+
+    LogDriverOptions m_options;
+    ReplicatedMachine& m_machine;
+    RaftStorage m_storage;
+    ReplicaId m_self;
+    std::unique_ptr<RaftCore> m_core;
+    RaftOutput m_output;
+    bool m_hasWork = true;
+    std::deque<Waiter> m_waiters;
+    std::uint64_t m_appliedIndex = 0;
+    std::uint64_t m_appliedTerm = 0;
+    Millis m_appliedTime;
+    std::uint64_t m_snapshotIndex = 0;
+    std::uint64_t m_bytesSinceSnapshot = 0;
+};
+
+} // namespace celeryline
--- a/include/celeryline/consensus/LogFormation.h
+++ b/include/celeryline/consensus/LogFormation.h
@@ -5,6 +5,7 @@
 #include "celeryline/base/Millis.h"
 #include "celeryline/consensus/Hello.h"
 #include "celeryline/consensus/PeerTransport.h"
+#include "celeryline/consensus/VoterConfiguration.h"
 #include "celeryline/storage/LogEntry.h"
 
 #include <optional>
@@ -21,6 +22,10 @@
 /// @throws Error of kind Corrupt if the bytes are not a whole entry.
 LogEntry decodeFormation(const std::string& bytes);
 
+/// @param configuration the founding voters.
+/// @return the first entry of a log of theirs, in a random term that tells it from other formations.
+LogEntry firstEntry(const VoterConfiguration& configuration);
+
 /// Asks all other voters for their storage ids. Called by the first voter of the settings while it is empty.
 /// @param own what this instance tells about itself.
 /// @param voters names of all voters.
--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -59,6 +59,11 @@
     /// @return whether it was written.
     bool form(const LogEntry& entry);
 
+    /// Makes another instance known, to which the log is sent from now on. It becomes a learner; a known name
+    /// is ignored.
+    /// @param name name of the instance.
+    void addPeer(const std::string& name);
+
     /// Hands leadership to the voter that is furthest. The leader takes no proposals from here on.
     /// @return whether there is a voter to hand over to.
     bool transferLeadership(Millis now);
@@ -137,6 +142,13 @@
     void sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat);
     void advanceCommit();
     void repairConfiguration();
+    bool isHeard(const detail::ReplicaState& replica) const;
+    bool isCaughtUp(const detail::ReplicaState& replica) const;
+    bool isGone(const ReplicaId& voter) const;
+    bool removeReplacedVoter();
+    void promoteNamedVoter();
+    void keepVoterTarget();
+    void followPeer(const std::string& name);
     void continueTransfer();
     Millis quorumHeardAt() const;
     std::uint64_t quorumMatch() const;
--- a/include/celeryline/consensus/RaftOptions.h
+++ b/include/celeryline/consensus/RaftOptions.h
@@ -26,6 +26,11 @@
     bool isDurable = true; ///< False on an instance without a disk, which can only be a learner.
     std::vector<std::string> peers; ///< Names of all other instances.
     std::vector<std::string> voterNames; ///< Instances that the leader makes voters once they caught up.
+    /// Without voterNames: how many voters the leader keeps. It makes caught-up learners voters while there
+    /// are fewer, and replaces voters that are gone for good. 0 uses voterNames.
+    std::size_t voterTarget = 0;
+    /// With voterTarget: a voter that was silent for so long is replaced, if a learner is there.
+    Millis voterGoneAfter { 8000 };
     Millis heartbeat { 50 };
     Millis electionTimeout { 300 }; ///< Minimum; each timeout is drawn from one to two times this.
     std::size_t maxBatchBytes = 1 << 20; ///< Payload of one Append message.
--- /dev/null
+++ b/include/celeryline/jobs/JobMaster.h
@@ -0,0 +1,130 @@
+/// @file
+/// The leader's control of jobs and runners.
+#pragma once
+
+#include "celeryline/jobs/JobStore.h"
+#include "celeryline/jobs/RunnerTable.h"
+#include "celeryline/jobs/StartPlan.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// The log as JobMaster sees it.
+class CommandLog {
+public:
+    virtual ~CommandLog() = default;
+
+    /// @return whether this instance may act as leader now: no other one can, and all that earlier leaders
+    /// committed is applied here.
+    virtual bool isLeading() const = 0;
+
+    /// @return term of this instance's leadership.
+    virtual std::uint64_t term() const = 0;
+
+    /// Appends commands.
+    /// @param commands the commands.
+    /// @param done called once: with true when they are committed and applied, with false when that isn't
+    /// known, because leadership was lost.
+    virtual void propose(const std::vector<JobCommand>& commands, std::function<void(bool)> done) = 0;
+};
+
+/// The two clocks of an instance at one moment.
+struct Moment {
+    Millis steady; ///< For leases and timeouts.
+    Millis wall; ///< For due times and records.
+};
+
+/// What became of a caller's or operator's request.
+enum class RequestOutcome : std::uint8_t {
+    Done, ///< Committed.
+    NotLeading, ///< Not done; another instance must be asked.
+    Unknown ///< It may be done or not; the same request may be sent again.
+};
+
+/// Constants of JobMaster.
+struct JobMasterOptions {
+    Millis runnerHold { 4000 }; ///< Lease of runs, granted with each answer to a report.
+    Millis reportWithRoom { 150 }; ///< When a runner with free capacity should report again.
+    Millis reportWhenFull { 1000 }; ///< When a runner without free capacity should report again.
+    Millis endedJobsKept { 180000 }; ///< How long the state of an ended job can be read.
+    Millis housekeeping { 500 }; ///< Interval of lease checks and the like.
+};
+
+/// The leader's control of jobs and runners: turns reports and requests into commands, and committed state
+/// into orders. Orders are derived from the committed state and from what the runner reports at each report,
+/// so that a lost answer or a change of leader needs no special treatment. Single-threaded.
+class JobMaster {
+public:
+    using RequestCallback = std::function<void(RequestOutcome)>;
+    using OrdersCallback = std::function<void(std::optional<RunnerOrders>)>;
+
+    /// @param options constants.
+    /// @param store committed state.
+    /// @param log where changes are proposed.
+    /// @param clock gives the time.
+    JobMaster(const JobMasterOptions& options, const JobStore& store, CommandLog& log,
+        std::function<Moment()> clock);
+
+    /// Begins a term of leadership.
+    void startTerm();
+
+    /// Lets leases end and due times come. Call it every few milliseconds to tens of milliseconds.
+    void tick();
+
+    /// Takes or changes something durably.
+    /// @param command what is to be done.
+    /// @param done called with the outcome.
+    void request(JobCommand command, RequestCallback done);
+
+    /// Takes a runner's report.
+    /// @param report the report.
+    /// @param done called with the orders; with nothing if this instance doesn't lead.
+    void report(RunnerReport report, OrdersCallback done);
+
+    /// Notes that a runner has left.
+    /// @param runner its id.
+    void leave(const std::string& runner);
+
+    /// Starts tasks for which there is room.
+    void plan();
+
+    const RunnerTable& runners() const { return m_runners; }
+
+private:
+    struct PendingReport {
+        RunnerReport report;
+        std::uint64_t lastEnd = 0;
+        OrdersCallback done;
+    };
+
+    std::vector<JobCommand> endsOf(const RunnerReport& report) const;
+    std::vector<RunnerRoom> rooms() const;
+    Resources reservedOn(const RunnerLife& life) const;
+    void answerAfterPlan(const std::shared_ptr<PendingReport>& pending);
+    void answer(const PendingReport& pending);
+    RunnerOrders ordersFor(const PendingReport& pending) const;
+    void addStarts(const RunnerReport& report, RunnerOrders& orders) const;
+    void addStops(const RunnerReport& report, RunnerOrders& orders) const;
+    bool mustRun(const RunName& run, const RunnerLife& life) const;
+    void endLostRuns();
+    void openDueOccurrences();
+    void forgetOldJobs();
+
+    JobMasterOptions m_options;
+    const JobStore& m_store;
+    CommandLog& m_log;
+    std::function<Moment()> m_clock;
+    RunnerTable m_runners;
+    bool m_isPlanning = false; ///< Starts are proposed and not committed yet.
+    bool m_mustPlan = false;
+    std::vector<std::shared_ptr<PendingReport>> m_waiting; ///< Reports that wait for the plan.
+    Millis m_nextHousekeeping;
+    bool m_isHousekeeping = false; ///< Its commands are proposed and not committed yet.
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -0,0 +1,132 @@
+/// @file
+/// Serialisation of the job state and its commands with cereal.
+#pragma once
+
+#include "celeryline/jobs/JobState.h"
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+namespace celeryline {
+
+template <typename Archive> void serialize(Archive& archive, Millis& value) { archive(value.count); }
+
+template <typename Archive> void serialize(Archive& archive, Resources& value)
+{
+    archive(value.cpuMilli, value.memoryMb, value.accelerators);
+}
+
+template <typename Archive> void serialize(Archive& archive, TaskName& value)
+{
+    archive(value.job, value.occurrence, value.step, value.index);
+}
+
+template <typename Archive> void serialize(Archive& archive, RunName& value)
+{
+    archive(value.task, value.run);
+}
+
+template <typename Archive> void serialize(Archive& archive, RunnerLife& value)
+{
+    archive(value.runner, value.born);
+}
+
+template <typename Archive> void serialize(Archive& archive, StepSpec& value)
+{
+    archive(value.count, value.demand, value.estimate, value.after, value.savesProgress, value.isGang);
+    archive(value.sameRack, value.requiredLabel, value.dataRack, value.maxPerRunner, value.isSpeculative);
+    archive(value.isLongRunning, value.image, value.targetLatency, value.fills, value.mayMiss);
+}
+
+template <typename Archive> void serialize(Archive& archive, JobSpec& value)
+{
+    archive(value.id, value.queue, value.payload, value.steps, value.occurrences, value.firstDue);
+    archive(value.period);
+}
+
+template <typename Archive> void serialize(Archive& archive, QueueSettings& value)
+{
+    archive(value.key, value.name, value.service, value.priority, value.attempts, value.stretch);
+    archive(value.objective, value.timeout, value.needsAdvice);
+}
+
+template <typename Archive> void serialize(Archive& archive, PoolSettings& value)
+{
+    archive(value.service, value.rejectsOverload, value.isStandby);
+}
+
+template <typename Archive> void serialize(Archive& archive, QueueConfiguration& value)
+{
+    archive(value.version, value.queues, value.pools, value.document);
+}
+
+template <typename Archive> void serialize(Archive& archive, AcceptConfiguration& value)
+{
+    archive(value.configuration);
+}
+
+template <typename Archive> void serialize(Archive& archive, SubmitJob& value)
+{
+    archive(value.job, value.submittedAt);
+}
+
+template <typename Archive> void serialize(Archive& archive, CancelJob& value) { archive(value.job); }
+
+template <typename Archive> void serialize(Archive& archive, OpenOccurrence& value)
+{
+    archive(value.job, value.occurrence);
+}
+
+template <typename Archive> void serialize(Archive& archive, StartRun& value)
+{
+    archive(value.run, value.life);
+}
+
+template <typename Archive> void serialize(Archive& archive, EndRun& value)
+{
+    archive(value.run, value.how, value.checkpoint);
+}
+
+template <typename Archive> void serialize(Archive& archive, ForgetJob& value) { archive(value.job); }
+
+template <typename Archive> void serialize(Archive& archive, StartWave& value)
+{
+    archive(value.wave, value.machines, value.deadline, value.maxAtOnce, value.startedAt);
+}
+
+template <typename Archive> void serialize(Archive& archive, NoteUpkeep& value)
+{
+    archive(value.wave, value.machine, value.isDone);
+}
+
+template <typename Archive> void serialize(Archive& archive, TaskRun& value)
+{
+    archive(value.number, value.life);
+}
+
+template <typename Archive> void serialize(Archive& archive, TaskState& value)
+{
+    archive(value.lastRun, value.failures, value.isDone, value.runs, value.checkpoint);
+}
+
+template <typename Archive> void serialize(Archive& archive, StepState& value)
+{
+    archive(value.tasks, value.done, value.active);
+}
+
+template <typename Archive> void serialize(Archive& archive, JobState& value)
+{
+    archive(value.spec, value.phase, value.hasStarted, value.submittedAt, value.endedAt);
+    archive(value.occurrences, value.opened, value.completed);
+}
+
+template <typename Archive> void serialize(Archive& archive, WaveState& value)
+{
+    archive(value.order, value.begun, value.done);
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/jobs/StartPlan.h
@@ -0,0 +1,55 @@
+/// @file
+/// The decision which tasks start on which runners.
+#pragma once
+
+#include "celeryline/jobs/JobStore.h"
+
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// What a runner has left for further tasks.
+struct RunnerRoom {
+    RunnerLife life;
+    std::string service;
+    std::vector<std::string> labels;
+    Resources free;
+};
+
+/// Where a job stands in the order of starts.
+struct JobRank {
+    std::string job;
+    bool isLongRunning = false;
+    bool isLate = false; ///< Can't meet its objective any more.
+    std::uint32_t priority = 0;
+    Millis slack; ///< Time until its remaining work must have started to meet the objective.
+};
+
+/// Long-running jobs first, then those that can still meet their objective by slack, then late ones.
+bool operator<(const JobRank& a, const JobRank& b);
+
+/// @param spec steps of a job.
+/// @param steps their state; empty if nothing is known, then the whole chain counts.
+/// @return the longest chain of estimated task durations that is still to be done.
+Millis remainingChain(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps);
+
+/// Ranks the open jobs by who must start first. Work that can no longer meet its objective earns little, so
+/// it comes behind all work that can.
+/// @param store jobs and configuration.
+/// @param wallNow wall time.
+/// @return the ranks in order.
+std::vector<JobRank> rankJobs(const JobStore& store, Millis wallNow);
+
+/// Chooses starts for tasks whose turn has come. Tasks of a job are placed in the order of rankJobs(), each
+/// on the runner where it fits closest, so that large gaps stay for large tasks. The members of a gang start
+/// all together or not at all.
+/// @param store jobs and configuration.
+/// @param rooms room on each runner that takes new tasks.
+/// @param wallNow wall time.
+/// @return the starts.
+///
+/// Example: `for (const auto& start : planStarts(store, rooms, wallNow)) { propose(start); }`
+std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow);
+
+} // namespace celeryline
--- /dev/null
+++ b/src/consensus/LogDriver.cpp
@@ -0,0 +1,162 @@
+#include "celeryline/consensus/LogDriver.h"
+
+#include <utility>
+
+namespace celeryline {
+
+LogDriver::LogDriver(LogDriverOptions options, FileSystem& files, ReplicatedMachine& machine, Millis now)
+    : m_options(std::move(options))
+    , m_machine(machine)
+    , m_storage(files, m_options.directory, randomStorageId())
+{
+    auto recovered = m_storage.open();
+    m_self = { m_options.raft.self.name, recovered.storageId };
+    m_options.raft.self = m_self;
+    if (recovered.snapshot.index != 0) {
+        m_machine.restoreSnapshot(recovered.snapshot.state);
+        m_appliedIndex = recovered.snapshot.index;
+        m_appliedTerm = recovered.snapshot.term;
+        m_appliedTime = recovered.snapshot.time;
+        m_snapshotIndex = m_appliedIndex;
+    }
+    m_core = std::make_unique<RaftCore>(
+        m_options.raft, recovered.term, recovered.snapshot, recovered.entries, now);
+}
+
+bool LogDriver::propose(Millis now, Millis wall, const std::vector<std::string>& payloads, Callback done)
+{
+    auto first = m_core->propose(now, wall, payloads);
+    if (first == 0)
+        return false;
+    m_waiters.push_back({ first + payloads.size() - 1, m_core->term(), std::move(done) });
+    m_hasWork = true;
+    return true;
+}
+
+std::vector<RaftMessage> LogDriver::begin()
+{
+    m_hasWork = false;
+    m_output = m_core->takeOutput();
+    return std::move(m_output.messages);
+}
+
+void LogDriver::finish()
+{
+    auto output = std::exchange(m_output, RaftOutput {});
+    if (output.persistId != 0) {
+        m_storage.persist(output);
+        m_core->persisted(output.persistId);
+        m_hasWork = true; // What waited for the disk can go on.
+    }
+    if (output.snapshot != nullptr) {
+        const auto& snapshot = output.snapshot->snapshot;
+        m_machine.restoreSnapshot(snapshot.state);
+        m_appliedIndex = snapshot.index;
+        m_appliedTerm = snapshot.term;
+        m_appliedTime = snapshot.time;
+        m_snapshotIndex = snapshot.index;
+        m_bytesSinceSnapshot = 0;
+    }
+    if (output.needsSnapshot)
+        provideSnapshot();
+    for (const auto& entry : output.committed)
+        apply(entry);
+    if (m_core->role() != ConsensusRole::Leader)
+        failWaiters();
+    takeSnapshotIfDue();
+}
+
+void LogDriver::apply(const LogEntry& entry)
+{
+    if (entry.kind == LogEntryKind::Command)
+        m_machine.apply(entry);
+    m_appliedIndex = entry.index;
+    m_appliedTerm = entry.term;
+    m_appliedTime = entry.time;
+    m_bytesSinceSnapshot += entry.payload.size();
+    endWaiters(entry.index, entry.term);
+}
+
+void LogDriver::endWaiters(std::uint64_t appliedIndex, std::uint64_t term)
+{
+    while (!m_waiters.empty() && m_waiters.front().index <= appliedIndex) {
+        auto waiter = std::move(m_waiters.front());
+        m_waiters.pop_front();
+        waiter.done(waiter.index == appliedIndex && waiter.term == term);
+    }
+}
+
+void LogDriver::failWaiters()
+{
+    auto waiters = std::exchange(m_waiters, {});
+    for (auto& waiter : waiters)
+        waiter.done(false);
+}
+
+void LogDriver::takeSnapshotIfDue()
+{
+    if (m_bytesSinceSnapshot < m_options.snapshotBytes
+        && m_appliedIndex - m_snapshotIndex < m_options.snapshotEntries)
+        return;
+    Snapshot snapshot;
+    snapshot.index = m_appliedIndex;
+    snapshot.term = m_appliedTerm;
+    snapshot.time = m_appliedTime;
+    snapshot.configuration = m_core->log().configurationAt(m_appliedIndex);
+    snapshot.state = m_machine.takeSnapshot();
+    m_storage.saveSnapshot(m_appliedIndex, encodeSnapshot(snapshot));
+    m_core->compact(m_appliedIndex, m_options.keptEntries);
+    m_snapshotIndex = m_appliedIndex;
+    m_bytesSinceSnapshot = 0;
+}
+
+void LogDriver::provideSnapshot()
+{
+    auto bytes = m_storage.loadSnapshot();
+    if (bytes.empty())
+        return;
+    auto snapshot = decodeSnapshot(bytes, "own snapshot");
+    m_core->provideSnapshot(
+        snapshot.index, snapshot.term, std::make_shared<const std::string>(std::move(bytes)));
+    m_hasWork = true;
+}
+
+void LogDriver::tick(Millis now)
+{
+    m_core->tick(now);
+    m_hasWork = true;
+}
+
+void LogDriver::receive(Millis now, const RaftMessage& message)
+{
+    m_core->receive(now, message);
+    m_hasWork = true;
+}
+
+bool LogDriver::form(const LogEntry& entry)
+{
+    m_hasWork = true;
+    return m_core->form(entry);
+}
+
+bool LogDriver::transferLeadership(Millis now)
+{
+    m_hasWork = true;
+    return m_core->transferLeadership(now);
+}
+
+bool LogDriver::isLeading(Millis now) const
+{
+    return m_core->role() == ConsensusRole::Leader && m_appliedTerm == m_core->term()
+        && now < m_core->leaseEnd();
+}
+
+std::optional<LogEntry> LogDriver::formation() const
+{
+    const auto& log = m_core->log();
+    if (log.baseIndex() != 0 || log.lastIndex() == 0 || log.at(1).kind != LogEntryKind::Configuration)
+        return std::nullopt;
+    return log.at(1);
+}
+
+} // namespace celeryline
--- a/src/consensus/LogFormation.cpp
+++ b/src/consensus/LogFormation.cpp
@@ -48,6 +48,11 @@
             return std::nullopt;
         }
     }
+    return firstEntry(configuration);
+}
+
+LogEntry firstEntry(const VoterConfiguration& configuration)
+{
     LogEntry entry;
     entry.index = 1;
     entry.kind = LogEntryKind::Configuration;
--- a/src/consensus/RaftElection.cpp
+++ b/src/consensus/RaftElection.cpp
@@ -108,12 +108,8 @@
     for (const auto& voter : m_log.configuration().voters)
         names.push_back(voter.name);
     for (const auto& name : names) {
-        if (name == m_options.self.name)
-            continue;
-        auto& replica = m_replicas[name];
-        const auto* voter = m_log.configuration().find(name);
-        replica.id = voter != nullptr ? *voter : ReplicaId { name, "" };
-        replica.next = m_log.lastIndex() + 1;
+        if (name != m_options.self.name)
+            followPeer(name);
     }
     appendOwn(LogEntryKind::Noop, m_log.lastTime(), "");
     m_firstOwnIndex = m_log.lastIndex();
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -237,12 +237,41 @@
     return true;
 }
 
+bool RaftCore::isHeard(const detail::ReplicaState& replica) const
+{
+    return replica.heardSendTime > m_leadingSince
+        && m_now < replica.heardSendTime + m_options.electionTimeout;
+}
+
+bool RaftCore::isCaughtUp(const detail::ReplicaState& replica) const
+{
+    // An empty replica can't vote, so as a voter it would make the loss of another one fatal.
+    return isHeard(replica) && isDurableId(replica.id.storageId) && replica.match >= m_firstOwnIndex
+        && replica.match + caughtUpEntries >= m_log.lastIndex();
+}
+
+bool RaftCore::isGone(const ReplicaId& voter) const
+{
+    if (voter == m_options.self)
+        return false;
+    const auto* replica = configured(voter);
+    auto heardAt = replica == nullptr ? m_leadingSince : std::max(replica->heardSendTime, m_leadingSince);
+    return m_now >= heardAt + m_options.voterGoneAfter;
+}
+
 void RaftCore::repairConfiguration()
 {
-    auto isHeard = [this](const detail::ReplicaState& replica) {
-        return replica.heardSendTime > m_leadingSince
-            && m_now < replica.heardSendTime + m_options.electionTimeout;
-    };
+    if (removeReplacedVoter())
+        return;
+    if (m_options.voterTarget == 0) {
+        promoteNamedVoter();
+    } else {
+        keepVoterTarget();
+    }
+}
+
+bool RaftCore::removeReplacedVoter()
+{
     auto changed = m_log.configuration();
     for (const auto& voter : m_log.configuration().voters) {
         auto found = m_replicas.find(voter.name);
@@ -251,16 +280,17 @@
         // The voter came back with another storage, so the one it voted with is lost.
         changed.voters.erase(std::find(changed.voters.begin(), changed.voters.end(), voter));
         changeConfiguration(changed);
-        return;
+        return true;
     }
+    return false;
+}
+
+void RaftCore::promoteNamedVoter()
+{
+    auto changed = m_log.configuration();
     for (const auto& name : m_options.voterNames) {
         auto found = m_replicas.find(name);
-        if (found == m_replicas.end() || changed.find(name) != nullptr || !isHeard(found->second)
-            || !isDurableId(found->second.id.storageId))
-            continue;
-        // An empty replica can't vote, so as a voter it would make the loss of another one fatal.
-        auto match = found->second.match;
-        if (match < m_firstOwnIndex || match + caughtUpEntries < m_log.lastIndex())
+        if (found == m_replicas.end() || changed.find(name) != nullptr || !isCaughtUp(found->second))
             continue;
         changed.voters.push_back(found->second.id);
         changeConfiguration(changed);
@@ -268,6 +298,50 @@
     }
 }
 
+void RaftCore::keepVoterTarget()
+{
+    auto changed = m_log.configuration();
+    auto& voters = changed.voters;
+    auto gone = std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& v) { return isGone(v); });
+    if (voters.size() > m_options.voterTarget) {
+        if (gone == voters.end()) {
+            // The lost voter came back before it was removed.
+            gone = voters.back() == m_options.self ? voters.end() - 2 : voters.end() - 1;
+        }
+        voters.erase(gone);
+        changeConfiguration(changed);
+        return;
+    }
+    if (voters.size() == m_options.voterTarget && gone == voters.end())
+        return;
+    for (const auto& [name, replica] : m_replicas) {
+        // The new voter comes before the lost one goes, so that no majority rests on fewer disks.
+        if (changed.find(name) != nullptr || !isCaughtUp(replica))
+            continue;
+        voters.push_back(replica.id);
+        changeConfiguration(changed);
+        return;
+    }
+}
+
+void RaftCore::addPeer(const std::string& name)
+{
+    auto& peers = m_options.peers;
+    if (name == m_options.self.name || std::find(peers.begin(), peers.end(), name) != peers.end())
+        return;
+    peers.push_back(name);
+    if (m_role == ConsensusRole::Leader && m_replicas.count(name) == 0)
+        followPeer(name);
+}
+
+void RaftCore::followPeer(const std::string& name)
+{
+    auto& replica = m_replicas[name];
+    const auto* voter = m_log.configuration().find(name);
+    replica.id = voter != nullptr ? *voter : ReplicaId { name, "" };
+    replica.next = m_log.lastIndex() + 1;
+}
+
 bool RaftCore::transferLeadership(Millis now)
 {
     advanceTime(now);
--- /dev/null
+++ b/src/control/ControlNode.cpp
@@ -0,0 +1,209 @@
+#include "celeryline/control/ControlNode.h"
+
+#include "celeryline/consensus/LogFormation.h"
+#include "celeryline/settings/Logging.h"
+
+#include <functional>
+
+namespace celeryline {
+namespace {
+
+constexpr kj::Duration tickInterval = 25 * kj::MILLISECONDS;
+constexpr kj::Duration introductionsWithoutLeader = 250 * kj::MILLISECONDS;
+constexpr kj::Duration introductionsWithLeader = 2 * kj::SECONDS;
+constexpr Millis introductionTimeout { 700 };
+
+} // namespace
+
+ControlNode::ControlNode(
+    ControlNodeOptions options, kj::Timer& timer, kj::Network& network, const Clock& clock, FileSystem& files)
+    : m_options(std::move(options))
+    , m_timer(timer)
+    , m_clock(clock)
+    , m_log(logOptions(), files, *this, clock.now())
+    , m_master(m_options.jobs, m_store, *this, [this] { return moment(); })
+    , m_formation(m_options.address, m_options.seeds, m_options.isFirstStart, m_options.voters)
+    , m_links(timer, network)
+    , m_client(m_links, {})
+    , m_tasks(*this)
+    , m_server(network, m_options.address, *this)
+{
+    m_client.addAddresses(m_options.seeds);
+    for (const auto& voter : m_log.core().log().configuration().voters)
+        m_client.addAddresses({ voter.name });
+    scheduleTick();
+    scheduleIntroductions();
+}
+
+LogDriverOptions ControlNode::logOptions() const
+{
+    LogDriverOptions options;
+    options.directory = m_options.directory;
+    options.raft.self.name = m_options.address;
+    options.raft.voterTarget = m_options.voters;
+    options.raft.heartbeat = m_options.heartbeat;
+    options.raft.electionTimeout = m_options.electionTimeout;
+    options.raft.seed = std::hash<std::string>()(m_options.address);
+    return options;
+}
+
+kj::Promise<ForwardedResponse> ControlNode::request(ForwardedRequest request, Millis timeout)
+{
+    if (!isLeading())
+        return m_client.forward(std::move(request), timeout);
+    auto answered = m_handler->handle(request);
+    return answered.then([this, request = std::move(request), timeout](
+                             ForwardedResponse&& response) mutable -> kj::Promise<ForwardedResponse> {
+        if (response.outcome == ForwardOutcome::Answered)
+            return kj::mv(response);
+        // All requests are idempotent, so the next leader can be asked again.
+        return m_client.forward(std::move(request), timeout);
+    });
+}
+
+void ControlNode::resign()
+{
+    if (m_log.transferLeadership(m_clock.now()))
+        LOG4CXX_INFO(logger("control"), "hands leadership over in term " << term());
+    schedulePump();
+}
+
+bool ControlNode::isLeading() const { return m_log.isLeading(m_clock.now()) && m_startedTerm == term(); }
+
+void ControlNode::onRaft(const RaftMessage& message)
+{
+    m_log.receive(m_clock.now(), message);
+    schedulePump();
+}
+
+Introduction ControlNode::onIntroduction(const Introduction& other)
+{
+    if (!other.address.empty()) {
+        m_client.addAddresses({ other.address });
+        if (!other.storageId.empty())
+            m_log.addPeer(other.address);
+        m_formation.note(other);
+    }
+    m_client.addAddresses(other.members);
+    if (!other.formation.empty() && m_log.core().log().lastIndex() == 0
+        && m_log.form(decodeFormation(other.formation)))
+        LOG4CXX_INFO(logger("control"), "joined the log that " << other.address << " formed");
+    if (auto entry = m_formation.form(ownIntroduction())) {
+        LOG4CXX_INFO(logger("control"), "forms the log in term " << entry->term);
+        m_log.form(*entry);
+    }
+    schedulePump();
+    return ownIntroduction();
+}
+
+Introduction ControlNode::ownIntroduction() const
+{
+    Introduction own;
+    own.address = m_options.address;
+    own.storageId = m_log.self().storageId;
+    own.hasLog = m_log.core().log().lastIndex() != 0;
+    if (auto entry = m_log.formation())
+        own.formation = encodeFormation(*entry);
+    own.leader = leader();
+    own.members = m_client.addresses();
+    return own;
+}
+
+kj::Promise<ForwardedResponse> ControlNode::onForwarded(ForwardedRequest request)
+{
+    if (!isLeading()) {
+        ForwardedResponse response;
+        response.outcome = ForwardOutcome::NotLeading;
+        response.leader = leader() == m_options.address ? "" : leader();
+        return response;
+    }
+    return m_handler->handle(request);
+}
+
+void ControlNode::propose(const std::vector<JobCommand>& commands, std::function<void(bool)> done)
+{
+    std::vector<std::string> payloads;
+    payloads.reserve(commands.size());
+    for (const auto& command : commands)
+        payloads.push_back(encodeJobCommand(command));
+    schedulePump();
+    if (!m_log.propose(m_clock.now(), m_clock.wallTime(), payloads, done))
+        done(false);
+}
+
+void ControlNode::apply(const LogEntry& entry) { m_store.apply(decodeJobCommand(entry.payload), entry.time); }
+
+void ControlNode::schedulePump()
+{
+    if (m_isPumpScheduled || m_isStoring)
+        return;
+    m_isPumpScheduled = true;
+    m_tasks.add(kj::evalLast([this] { pump(); }));
+}
+
+void ControlNode::pump()
+{
+    m_isPumpScheduled = false;
+    for (auto& message : m_log.begin()) {
+        auto& link = m_links.to(message.to.name);
+        link.sendRaft(std::move(message));
+    }
+    m_isStoring = true;
+    // The messages are written before the disk keeps this process waiting.
+    m_tasks.add(kj::evalLast([this] { finishPump(); }));
+}
+
+void ControlNode::finishPump()
+{
+    m_log.finish();
+    m_isStoring = false;
+    noteRole();
+    m_master.tick();
+    if (m_log.hasWork())
+        schedulePump();
+}
+
+void ControlNode::noteRole()
+{
+    if (leader() != m_loggedLeader) {
+        m_loggedLeader = leader();
+        m_client.setLeader(leader() == m_options.address ? "" : leader());
+        LOG4CXX_INFO(logger("control"),
+            "leader in term " << term() << ": " << (leader().empty() ? "unknown" : leader()));
+    }
+    if (m_log.isLeading(m_clock.now()) && m_startedTerm != term()) {
+        m_startedTerm = term();
+        m_master.startTerm();
+    }
+}
+
+void ControlNode::scheduleTick()
+{
+    m_tasks.add(m_timer.afterDelay(tickInterval).then([this] {
+        m_log.tick(m_clock.now());
+        schedulePump();
+        scheduleTick();
+    }));
+}
+
+void ControlNode::scheduleIntroductions()
+{
+    for (const auto& address : m_client.addresses()) {
+        if (address == m_options.address)
+            continue;
+        auto answered = m_links.to(address).introduce(ownIntroduction(), introductionTimeout);
+        m_tasks.add(answered.then([this](CallResult<Introduction>&& call) {
+            if (call.hasResult)
+                onIntroduction(call.result);
+        }));
+    }
+    auto pause = leader().empty() ? introductionsWithoutLeader : introductionsWithLeader;
+    m_tasks.add(m_timer.afterDelay(pause).then([this] { scheduleIntroductions(); }));
+}
+
+void ControlNode::taskFailed(kj::Exception&& exception)
+{
+    LOG4CXX_ERROR(logger("control"), "task failed: " << exception.getDescription().cStr());
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/jobs/JobStore.cpp
@@ -0,0 +1,316 @@
+#include "celeryline/jobs/JobStore.h"
+
+#include "celeryline/base/Error.h"
+#include "celeryline/jobs/JobSerialization.h"
+
+#include <cereal/archives/portable_binary.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace celeryline {
+
+bool isStepReady(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps, std::size_t step)
+{
+    const auto& after = spec[step].after;
+    return std::all_of(after.begin(), after.end(),
+        [&](std::uint32_t earlier) { return steps[earlier].done == steps[earlier].tasks.size(); });
+}
+
+void JobStore::apply(const JobCommand& command, Millis time)
+{
+    std::visit([this, time](const auto& alternative) { accept(alternative, time); }, command);
+}
+
+void JobStore::accept(const AcceptConfiguration& command, Millis)
+{
+    if (command.configuration.version > m_configuration.version)
+        m_configuration = command.configuration;
+}
+
+void JobStore::accept(const SubmitJob& command, Millis)
+{
+    if (m_jobs.count(command.job.id) != 0)
+        return;
+    auto& job = m_jobs[command.job.id];
+    job.spec = command.job;
+    job.submittedAt = command.submittedAt;
+    m_openJobs.insert(command.job.id);
+    if (job.spec.occurrences == 0)
+        openOccurrence(job, 0);
+}
+
+void JobStore::accept(const CancelJob& command, Millis time)
+{
+    auto* job = mutableJob(command.job);
+    if (job != nullptr && job->phase == JobPhase::Open)
+        endJob(*job, JobPhase::Cancelled, time);
+}
+
+void JobStore::accept(const OpenOccurrence& command, Millis)
+{
+    auto* job = mutableJob(command.job);
+    // Occurrences are opened in order, so a number that was opened before is never opened again.
+    if (job != nullptr && job->phase == JobPhase::Open && command.occurrence == job->opened
+        && command.occurrence < occurrenceCount(*job))
+        openOccurrence(*job, command.occurrence);
+}
+
+void JobStore::accept(const StartRun& command, Millis)
+{
+    auto* job = mutableJob(command.run.task.job);
+    auto* task = mutableTask(command.run.task);
+    if (job == nullptr || task == nullptr || job->phase != JobPhase::Open || task->isDone
+        || command.run.run <= task->lastRun)
+        return;
+    task->lastRun = command.run.run;
+    if (task->runs.empty())
+        ++(*mutableSteps(command.run.task))[command.run.task.step].active;
+    task->runs.push_back({ command.run.run, command.life });
+    m_runs[command.life].insert(command.run);
+    job->hasStarted = true;
+}
+
+void JobStore::accept(const EndRun& command, Millis time)
+{
+    auto* job = mutableJob(command.run.task.job);
+    auto* task = mutableTask(command.run.task);
+    if (job == nullptr || task == nullptr)
+        return;
+    auto isEnded = [&](const TaskRun& run) { return run.number == command.run.run; };
+    auto found = std::find_if(task->runs.begin(), task->runs.end(), isEnded);
+    if (found == task->runs.end())
+        return;
+    auto held = m_runs.find(found->life);
+    if (held != m_runs.end()) {
+        held->second.erase(command.run);
+        if (held->second.empty())
+            m_runs.erase(held);
+    }
+    task->runs.erase(found);
+    if (task->runs.empty())
+        --(*mutableSteps(command.run.task))[command.run.task.step].active;
+    endTask(command, *task);
+    if (job->phase == JobPhase::Open) {
+        if (command.how == RunEnd::Done)
+            completeTask(*job, command.run.task, *task);
+        if (command.how == RunEnd::Failed)
+            noteFailure(*job, command, *task, time);
+    }
+    if (job->phase == JobPhase::Open)
+        completeOccurrences(*job, time);
+    releaseIfIdle(*job);
+}
+
+void JobStore::endTask(const EndRun& command, TaskState& task)
+{
+    if (command.checkpoint.empty())
+        return;
+    task.checkpoint = command.checkpoint;
+    const auto* step = findStep(command.run.task);
+    if (!step->isGang)
+        return;
+    // All members of a gang must resume from the same checkpoint.
+    for (auto& member : (*mutableSteps(command.run.task))[command.run.task.step].tasks)
+        member.checkpoint = command.checkpoint;
+}
+
+void JobStore::completeTask(JobState& job, const TaskName& name, TaskState& task)
+{
+    const auto& spec = job.spec.steps[name.step];
+    if (spec.isLongRunning)
+        return;
+    auto& step = (*mutableSteps(name))[name.step];
+    if (spec.isGang) {
+        // The end of one member stands for all of them.
+        for (auto& member : step.tasks)
+            member.isDone = true;
+        step.done = static_cast<std::uint32_t>(step.tasks.size());
+    } else if (!task.isDone) {
+        task.isDone = true;
+        ++step.done;
+    }
+}
+
+void JobStore::completeOccurrences(JobState& job, Millis time)
+{
+    for (auto it = job.occurrences.begin(); it != job.occurrences.end();) {
+        bool isComplete = true;
+        bool isIdle = true;
+        for (const auto& step : it->second) {
+            isComplete = isComplete && step.done == step.tasks.size();
+            isIdle = isIdle && step.active == 0;
+        }
+        // The last occurrence stays, because endJob() looks at it; others stay while a copy still runs.
+        if (isComplete && isIdle && occurrenceCount(job) > 1) {
+            ++job.completed;
+            it = job.occurrences.erase(it);
+            continue;
+        }
+        if (isComplete && occurrenceCount(job) == 1)
+            job.completed = 1;
+        ++it;
+    }
+    if (job.completed == occurrenceCount(job))
+        endJob(job, JobPhase::Completed, time);
+}
+
+void JobStore::noteFailure(JobState& job, const EndRun& command, TaskState& task, Millis time)
+{
+    const auto& spec = job.spec.steps[command.run.task.step];
+    if (spec.isLongRunning)
+        return;
+    ++task.failures;
+    const auto* queue = findQueue(m_configuration, job.spec.queue);
+    if (queue != nullptr && task.failures >= queue->attempts && !task.isDone)
+        endJob(job, JobPhase::Failed, time);
+}
+
+void JobStore::accept(const ForgetJob& command, Millis)
+{
+    auto* job = mutableJob(command.job);
+    if (job != nullptr && job->phase != JobPhase::Open && job->occurrences.empty())
+        m_jobs.erase(command.job);
+}
+
+void JobStore::accept(const StartWave& command, Millis)
+{
+    if (m_waves.count(command.wave) == 0)
+        m_waves[command.wave].order = command;
+}
+
+void JobStore::accept(const NoteUpkeep& command, Millis)
+{
+    auto found = m_waves.find(command.wave);
+    if (found == m_waves.end())
+        return;
+    found->second.begun.insert(command.machine);
+    if (command.isDone)
+        found->second.done.insert(command.machine);
+}
+
+void JobStore::openOccurrence(JobState& job, std::uint32_t occurrence)
+{
+    std::vector<StepState> steps(job.spec.steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i)
+        steps[i].tasks.resize(job.spec.steps[i].count);
+    job.occurrences[occurrence] = std::move(steps);
+    job.opened = occurrence + 1;
+}
+
+void JobStore::endJob(JobState& job, JobPhase phase, Millis time)
+{
+    job.phase = phase;
+    job.endedAt = time;
+    m_openJobs.erase(job.spec.id);
+    releaseIfIdle(job);
+}
+
+void JobStore::releaseIfIdle(JobState& job)
+{
+    if (job.phase == JobPhase::Open)
+        return;
+    for (const auto& [number, steps] : job.occurrences) {
+        for (const auto& step : steps) {
+            if (step.active != 0)
+                return;
+        }
+    }
+    job.occurrences.clear();
+    job.spec.steps = {};
+    job.spec.payload = {};
+}
+
+JobState* JobStore::mutableJob(const std::string& id)
+{
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::vector<StepState>* JobStore::mutableSteps(const TaskName& task)
+{
+    auto* job = mutableJob(task.job);
+    if (job == nullptr)
+        return nullptr;
+    auto found = job->occurrences.find(task.occurrence);
+    return found == job->occurrences.end() ? nullptr : &found->second;
+}
+
+TaskState* JobStore::mutableTask(const TaskName& task)
+{
+    auto* steps = mutableSteps(task);
+    if (steps == nullptr || task.step >= steps->size() || task.index >= (*steps)[task.step].tasks.size())
+        return nullptr;
+    return &(*steps)[task.step].tasks[task.index];
+}
+
+const JobState* JobStore::findJob(const std::string& id) const
+{
+    auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const StepSpec* JobStore::findStep(const TaskName& task) const
+{
+    const auto* job = findJob(task.job);
+    return job == nullptr || task.step >= job->spec.steps.size() ? nullptr : &job->spec.steps[task.step];
+}
+
+const TaskState* JobStore::findTask(const TaskName& task) const
+{
+    return const_cast<JobStore*>(this)->mutableTask(task);
+}
+
+std::size_t JobStore::waitingJobs(const std::string& key) const
+{
+    std::size_t waiting = 0;
+    for (const auto& id : m_openJobs) {
+        const auto& job = m_jobs.at(id);
+        if (job.spec.queue == key && !job.hasStarted)
+            ++waiting;
+    }
+    return waiting;
+}
+
+std::string JobStore::takeSnapshot() const
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(m_configuration, m_jobs, m_waves);
+    return stream.str();
+}
+
+void JobStore::restoreSnapshot(const std::string& bytes)
+{
+    JobStore restored;
+    std::istringstream stream(bytes);
+    try {
+        cereal::PortableBinaryInputArchive archive(stream);
+        archive(restored.m_configuration, restored.m_jobs, restored.m_waves);
+    } catch (const std::exception& e) {
+        throw Error(ErrorKind::Corrupt, std::string("a snapshot of the jobs can't be read: ") + e.what(),
+            "run the same version on all instances");
+    }
+    restored.rebuildIndexes();
+    *this = std::move(restored);
+}
+
+void JobStore::rebuildIndexes()
+{
+    for (const auto& [id, job] : m_jobs) {
+        if (job.phase == JobPhase::Open)
+            m_openJobs.insert(id);
+        for (const auto& [occurrence, steps] : job.occurrences) {
+            for (std::uint32_t step = 0; step < steps.size(); ++step) {
+                for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+                    for (const auto& run : steps[step].tasks[index].runs) {
+                        TaskName name { id, occurrence, step, index };
+                        m_runs[run.life].insert({ name, run.number });
+                    }
+                }
+            }
+        }
+    }
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/jobs/RunnerTable.cpp
@@ -0,0 +1,81 @@
+#include "celeryline/jobs/RunnerTable.h"
+
+#include <algorithm>
+
+namespace celeryline {
+namespace {
+
+/// A runner's clock may be slower than ours by so much.
+constexpr std::int64_t clockDriftPercent = 2;
+/// Kept back for rounding to milliseconds and for the time between reading two clocks.
+constexpr Millis leaseMargin { 100 };
+/// A runner that has left ends what it runs; so much later this is certain.
+constexpr Millis leavingTime { 1000 };
+/// Runners without a report for so long are dropped; their ids are hardly used again.
+constexpr Millis silentRunnersKept { 60000 };
+
+Millis longestHold(Millis hold)
+{
+    return Millis { hold.count * (100 + clockDriftPercent) / 100 } + leaseMargin;
+}
+
+} // namespace
+
+void RunnerTable::reset(Millis now)
+{
+    m_runners.clear();
+    m_resetAt = now;
+}
+
+RunnerState* RunnerTable::accept(const RunnerReport& report, Millis now)
+{
+    auto& state = m_runners[report.life.runner];
+    bool isKnown = !state.report.life.runner.empty();
+    if (isKnown && report.life.born < state.report.life.born)
+        return nullptr;
+    if (isKnown && report.life == state.report.life && report.sequence <= state.report.sequence)
+        return nullptr;
+    if (isKnown && report.life != state.report.life)
+        state = RunnerState {};
+    state.report = report;
+    state.heardAt = now;
+    state.leaseEnd = now + longestHold(m_hold);
+    state.hasLeft = false;
+    return &state;
+}
+
+void RunnerTable::leave(const std::string& runner, Millis now)
+{
+    auto found = m_runners.find(runner);
+    if (found == m_runners.end())
+        return;
+    found->second.hasLeft = true;
+    found->second.leaseEnd = std::min(found->second.leaseEnd, now + leavingTime);
+}
+
+bool RunnerTable::isOver(const RunnerLife& life, Millis now) const
+{
+    auto found = m_runners.find(life.runner);
+    if (found == m_runners.end())
+        return now >= m_resetAt + longestHold(m_hold);
+    const auto& state = found->second;
+    if (state.report.life == life)
+        return now >= state.leaseEnd;
+    return life.born < state.report.life.born;
+}
+
+const RunnerState* RunnerTable::find(const RunnerLife& life) const
+{
+    auto found = m_runners.find(life.runner);
+    return found == m_runners.end() || found->second.report.life != life ? nullptr : &found->second;
+}
+
+void RunnerTable::forgetSilent(Millis now)
+{
+    for (auto it = m_runners.begin(); it != m_runners.end();) {
+        bool isSilent = now >= it->second.heardAt + silentRunnersKept;
+        it = isSilent ? m_runners.erase(it) : std::next(it);
+    }
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/jobs/StartPlan.cpp
@@ -0,0 +1,185 @@
+#include "celeryline/jobs/StartPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace celeryline {
+namespace {
+
+bool fits(const Resources& demand, const Resources& free)
+{
+    return demand.cpuMilli <= free.cpuMilli && demand.memoryMb <= free.memoryMb
+        && demand.accelerators <= free.accelerators;
+}
+
+bool hasLabel(const RunnerRoom& room, const std::string& label)
+{
+    return std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
+}
+
+void reserve(RunnerRoom& room, const Resources& demand)
+{
+    room.free.cpuMilli -= demand.cpuMilli;
+    room.free.memoryMb -= demand.memoryMb;
+    room.free.accelerators -= demand.accelerators;
+}
+
+/// Places the tasks of one step after the other.
+class Planner {
+public:
+    Planner(const JobStore& store, std::vector<RunnerRoom> rooms)
+        : m_store(store)
+        , m_rooms(std::move(rooms))
+    {
+        for (auto& room : m_rooms)
+            m_pools[room.service].push_back(&room);
+    }
+
+    void placeJob(const JobState& job)
+    {
+        const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
+        if (queue == nullptr)
+            return;
+        auto pool = m_pools.find(queue->service);
+        if (pool == m_pools.end())
+            return;
+        for (const auto& [occurrence, steps] : job.occurrences) {
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                bool hasWaiting = steps[i].done + steps[i].active < steps[i].tasks.size();
+                if (hasWaiting && isStepReady(job.spec.steps, steps, i)) {
+                    TaskName first { job.spec.id, occurrence, static_cast<std::uint32_t>(i), 0 };
+                    placeStep(job.spec.steps[i], steps[i], first, pool->second);
+                }
+            }
+        }
+    }
+
+    std::vector<StartRun> takeStarts() { return std::move(m_starts); }
+
+private:
+    using Pool = std::vector<RunnerRoom*>;
+
+    void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const Pool& pool)
+    {
+        std::map<std::string, std::uint32_t> onRunner; // Tasks of this step by runner.
+        std::uint32_t lastRun = 0;
+        for (const auto& task : step.tasks) {
+            lastRun = std::max(lastRun, task.lastRun);
+            for (const auto& run : task.runs)
+                ++onRunner[run.life.runner];
+        }
+        // A gang starts again only when all members of the earlier start are gone.
+        if (spec.isGang && step.active > 0)
+            return;
+        auto firstStart = m_starts.size();
+        auto roomsBefore = spec.isGang ? m_rooms : std::vector<RunnerRoom> {};
+        for (name.index = 0; name.index < step.tasks.size(); ++name.index) {
+            const auto& task = step.tasks[name.index];
+            if (task.isDone || !task.runs.empty())
+                continue;
+            auto* room = chooseRoom(spec, pool, onRunner);
+            if (room != nullptr) {
+                reserve(*room, reservedBy(spec));
+                ++onRunner[room->life.runner];
+                // The members of a gang share the number of their start.
+                auto run = (spec.isGang ? lastRun : task.lastRun) + 1;
+                m_starts.push_back({ { name, run }, room->life });
+            } else if (spec.isGang) {
+                m_starts.resize(firstStart);
+                std::copy(roomsBefore.begin(), roomsBefore.end(), m_rooms.begin());
+                return;
+            } else {
+                return; // The other tasks of the step need as much room.
+            }
+        }
+    }
+
+    RunnerRoom* chooseRoom(
+        const StepSpec& spec, const Pool& pool, const std::map<std::string, std::uint32_t>& onRunner) const
+    {
+        auto demand = reservedBy(spec);
+        RunnerRoom* best = nullptr;
+        auto bestKey = std::make_tuple(true, std::int64_t(0), std::int64_t(0));
+        for (auto* room : pool) {
+            if (!fits(demand, room->free))
+                continue;
+            if (!spec.requiredLabel.empty() && !hasLabel(*room, spec.requiredLabel))
+                continue;
+            auto found = onRunner.find(room->life.runner);
+            std::int64_t here = found == onRunner.end() ? 0 : found->second;
+            if (spec.maxPerRunner != 0 && here >= spec.maxPerRunner)
+                continue;
+            bool isFar = !spec.dataRack.empty() && !hasLabel(*room, spec.dataRack);
+            // What lasts is spread, so that one lost runner takes few tasks of a step with it.
+            auto key = std::make_tuple(isFar, spec.isLongRunning ? here : 0,
+                spec.isLongRunning ? -room->free.memoryMb : room->free.cpuMilli);
+            if (best == nullptr || key < bestKey) {
+                best = room;
+                bestKey = key;
+            }
+        }
+        return best;
+    }
+
+    const JobStore& m_store;
+    std::vector<RunnerRoom> m_rooms;
+    std::map<std::string, Pool> m_pools;
+    std::vector<StartRun> m_starts;
+};
+
+} // namespace
+
+bool operator<(const JobRank& a, const JobRank& b)
+{
+    return std::make_tuple(!a.isLongRunning, a.isLate, a.slack, a.job)
+        < std::make_tuple(!b.isLongRunning, b.isLate, b.slack, b.job);
+}
+
+Millis remainingChain(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps)
+{
+    std::vector<Millis> ends(spec.size());
+    Millis longest;
+    for (std::size_t i = 0; i < spec.size(); ++i) {
+        bool isDone = !steps.empty() && steps[i].done == steps[i].tasks.size();
+        Millis begin;
+        for (auto earlier : spec[i].after)
+            begin = std::max(begin, ends[earlier]);
+        ends[i] = isDone ? Millis {} : begin + spec[i].estimate;
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+std::vector<JobRank> rankJobs(const JobStore& store, Millis wallNow)
+{
+    std::vector<JobRank> ranks;
+    for (const auto& id : store.openJobs()) {
+        const auto& job = *store.findJob(id);
+        const auto* queue = findQueue(store.configuration(), job.spec.queue);
+        if (queue == nullptr || job.occurrences.empty())
+            continue;
+        JobRank rank;
+        rank.job = id;
+        rank.priority = queue->priority;
+        rank.isLongRunning = !job.spec.steps.empty() && job.spec.steps.front().isLongRunning;
+        auto whole = remainingChain(job.spec.steps, {});
+        auto left = remainingChain(job.spec.steps, job.occurrences.begin()->second);
+        Millis stretched { static_cast<std::int64_t>(queue->stretch * static_cast<double>(whole.count)) };
+        rank.slack = job.submittedAt + stretched + queue->objective - wallNow - left;
+        rank.isLate = rank.slack < Millis {};
+        ranks.push_back(std::move(rank));
+    }
+    std::sort(ranks.begin(), ranks.end());
+    return ranks;
+}
+
+std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow)
+{
+    Planner planner(store, std::move(rooms));
+    for (const auto& rank : rankJobs(store, wallNow))
+        planner.placeJob(*store.findJob(rank.job));
+    return planner.takeStarts();
+}
+
+} // namespace celeryline
--- a/src/rpc/RpcConversion.cpp
+++ b/src/rpc/RpcConversion.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/rpc/RpcConversion.h"
 
+#include "celeryline/rpc/ConversionTools.h"
+
 #include <array>
 #include <cstring>
 
@@ -14,30 +16,6 @@
     ErrorKind::NotFound, ErrorKind::Conflict, ErrorKind::Unavailable, ErrorKind::TimedOut,
     ErrorKind::LimitExceeded, ErrorKind::Refused, ErrorKind::Storage, ErrorKind::Corrupt };
 
-std::string text(capnp::Text::Reader from) { return { from.begin(), from.size() }; }
-
-std::string bytes(capnp::Data::Reader from)
-{
-    return { reinterpret_cast<const char*>(from.begin()), from.size() };
-}
-
-kj::StringPtr kjText(const std::string& from) { return { from.c_str(), from.size() }; }
-
-capnp::Data::Reader kjBytes(const std::string& from)
-{
-    return { reinterpret_cast<const kj::byte*>(from.data()), from.size() };
-}
-
-/// @throws Error if the value is above the enum's last one.
-template <typename Enum> Enum checkedEnum(std::uint8_t value, Enum last)
-{
-    if (value > static_cast<std::uint8_t>(last)) {
-        throw Error(ErrorKind::InvalidInput, "a peer sent the unknown enum value " + std::to_string(value),
-            "run the same version of celeryline on all instances");
-    }
-    return static_cast<Enum>(value);
-}
-
 void write(const ReplicaId& from, rpc::ReplicaId::Builder to)
 {
     to.setName(kjText(from.name));
