Move machines between pools and carry out upkeep waves

Ruled out: placement order within a pool, which can't help a pool whose demand exceeds its size for five seconds.

The leader now reads the list of machines, and each fifth of a second gives machines of pools in their trough, idle ones first, to pools that lack them, and only then switches standby machines on. Machines are emptied before they move or have their upkeep; long-running tasks are recalled one at a time while the others of their step are at work. An upkeep's begin is committed before its order, so that a new leader repeats it. After a change of leader no machine is ordered anything until the lease of the earlier holder has ended.

--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -6,11 +6,13 @@
 #include "celeryline/consensus/LogDriver.h"
 #include "celeryline/control/LeaderClient.h"
 #include "celeryline/jobs/JobMaster.h"
+#include "celeryline/machines/MachineMaster.h"
 #include "celeryline/membership/Formation.h"
 #include "celeryline/rpc/ControlServer.h"
 
 #include <kj/async-io.h>
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -58,6 +60,11 @@
     /// Sets who answers requests while this process leads; must be called once, and outlive this object.
     void setHandler(RequestHandler& handler) { m_handler = &handler; }
 
+    /// Manages machines from now on.
+    /// @param provider provider of the machines; must outlive this object.
+    /// @param options constants.
+    void manageMachines(MachineProvider& provider, const MachineMasterOptions& options);
+
     /// Answers a request here if this process leads; otherwise passes it on.
     /// @param timeout for passing it on.
     kj::Promise<ForwardedResponse> request(ForwardedRequest request, Millis timeout);
@@ -106,6 +113,7 @@
     JobStore m_store;
     LogDriver m_log;
     JobMaster m_master;
+    std::unique_ptr<MachineMaster> m_machines; ///< Null if this process manages no machines.
     Formation m_formation;
     ControlLinks m_links;
     LeaderClient m_client;
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,13 @@
     Unknown ///< It may be done or not; the same request may be sent again.
 };
 
+/// What a runner holds according to the committed state.
+struct RunnerUse {
+    Resources reserved;
+    std::vector<RunName> lasting; ///< Runs of long-running tasks.
+    bool isEmpty = true; ///< It holds nothing, and no start there is under way.
+};
+
 /// Constants of JobMaster.
 struct JobMasterOptions {
     Millis runnerHold { 4000 }; ///< Lease of runs, granted with each answer to a report.
@@ -95,6 +103,24 @@
 
     const RunnerTable& runners() const { return m_runners; }
 
+    /// Sets the runners that get no further tasks, because their machines are to be emptied.
+    /// @param runners their ids.
+    void setReserved(std::set<std::string> runners) { m_reserved = std::move(runners); }
+
+    /// @param runner id of a runner.
+    /// @return what it holds.
+    RunnerUse useOf(const std::string& runner) const;
+
+    /// Stops a run of a long-running task, so that it starts again on another runner, if all the other tasks
+    /// of its step are at work and there is room for it.
+    /// @param run the run.
+    /// @return whether it is being stopped.
+    bool recall(const RunName& run);
+
+    /// Ends what a runner held, after its machine was taken away from under it.
+    /// @param runner id of the runner.
+    void endRunner(const std::string& runner);
+
 private:
     struct PendingReport {
         RunnerReport report;
@@ -111,6 +137,8 @@
     void addStarts(const RunnerReport& report, RunnerOrders& orders) const;
     void addStops(const RunnerReport& report, RunnerOrders& orders) const;
     bool mustRun(const RunName& run, const RunnerLife& life) const;
+    bool isAtWork(const TaskName& task, const TaskState& state) const;
+    bool mayRecall(const RunName& run) const;
     void endLostRuns();
     void openDueOccurrences();
     void forgetOldJobs();
@@ -123,6 +151,8 @@
     bool m_isPlanning = false; ///< Starts are proposed and not committed yet.
     bool m_mustPlan = false;
     std::vector<std::shared_ptr<PendingReport>> m_waiting; ///< Reports that wait for the plan.
+    std::set<std::string> m_reserved; ///< Runners that get no further tasks.
+    std::set<RunName> m_recalled; ///< Runs that are being stopped to start elsewhere.
     Millis m_nextHousekeeping;
     bool m_isHousekeeping = false; ///< Its commands are proposed and not committed yet.
 };
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -41,6 +41,14 @@
 /// @return the ranks in order.
 std::vector<JobRank> rankJobs(const JobStore& store, Millis wallNow);
 
+/// @param rooms room on each runner that takes new tasks.
+/// @param spec a step.
+/// @param step its state.
+/// @param service pool that serves it.
+/// @return whether another task of the step could start now.
+bool hasRoomFor(
+    std::vector<RunnerRoom> rooms, const StepSpec& spec, const StepState& step, const std::string& service);
+
 /// Chooses starts for tasks whose turn has come. Tasks of a job are placed in the order of rankJobs(), each
 /// on the runner where it fits closest, so that large gaps stay for large tasks. The members of a gang start
 /// all together or not at all.
--- /dev/null
+++ b/include/celeryline/machines/MachineMaster.h
@@ -0,0 +1,102 @@
+/// @file
+/// The leader's control of machines.
+#pragma once
+
+#include "celeryline/jobs/JobMaster.h"
+#include "celeryline/machines/ArrivalRate.h"
+#include "celeryline/machines/MachineProvider.h"
+#include "celeryline/machines/PoolPlan.h"
+#include "celeryline/machines/UpkeepPlan.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// Constants of MachineMaster.
+struct MachineMasterOptions {
+    std::string holder; ///< Name of this instance in orders for machines.
+    Millis quietTime { 3500 }; ///< After a change of leader, until the earlier one's lease of machines ended.
+    Millis moveTime { 1500 }; ///< From a move's order until the new runner is up.
+    Millis upkeepTime { 2000 }; ///< From an upkeep's order until the new runner is up.
+    Millis listInterval { 1000 };
+    Millis planInterval { 200 };
+    Millis freshTime { 3000 }; ///< A machine that has just come to its pool stays at least so long.
+    PoolPlanOptions pools;
+};
+
+/// The leader's control of machines: empties machines and orders their moves and upkeep. Single-threaded.
+class MachineMaster {
+public:
+    /// @param options constants.
+    /// @param jobs control of jobs; must outlive this object.
+    /// @param store committed state.
+    /// @param log where changes are proposed.
+    /// @param provider provider of the machines; must outlive this object.
+    /// @param clock gives the time.
+    MachineMaster(MachineMasterOptions options, JobMaster& jobs, const JobStore& store, CommandLog& log,
+        MachineProvider& provider, std::function<Moment()> clock);
+
+    /// Begins a term of leadership.
+    void startTerm();
+
+    /// Lets time pass. Call it every few tens of milliseconds.
+    void tick();
+
+private:
+    enum class Stage : std::uint8_t { Emptying, Recording, Ordered, Away };
+
+    /// Something that is done to a machine.
+    struct Task {
+        std::uint64_t wave = 0; ///< 0 for a move.
+        std::string pool; ///< The new pool of a move.
+        Stage stage = Stage::Emptying;
+        Millis since; ///< Steady time at which the stage began.
+    };
+
+    /// What is known of a machine.
+    struct Machine {
+        MachineInfo info;
+        Millis inPoolSince;
+    };
+
+    void refreshList();
+    void takeList(const std::vector<MachineInfo>& machines);
+    void planAll();
+    void planWaves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
+    void planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& spare);
+    void planMoves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
+    std::vector<PoolDemand> demands();
+    std::vector<PoolMachine> poolMachines() const;
+    bool isStandbyPool(const std::string& pool) const;
+    std::string standbyPool() const;
+
+    void advanceTasks();
+    void advance(const std::string& machine, Task& task);
+    void recallLasting(const std::string& runner);
+    void record(const std::string& machine, std::uint64_t wave);
+    void order(const std::string& machine, Task& task);
+    void finishOrder(const std::string& machine, MachineOutcome outcome);
+    void publishReserved();
+    MachineLease lease() const { return { m_options.holder, m_log.term() }; }
+
+    MachineMasterOptions m_options;
+    JobMaster& m_jobs;
+    const JobStore& m_store;
+    CommandLog& m_log;
+    MachineProvider& m_provider;
+    std::function<Moment()> m_clock;
+    std::uint64_t m_term = 0;
+    Millis m_quietUntil;
+    Millis m_nextList;
+    Millis m_nextPlan;
+    bool m_isListing = false;
+    std::map<std::string, Machine> m_machines;
+    std::map<std::string, Task> m_tasks; ///< By machine.
+    ArrivalRate m_arrivals;
+};
+
+} // namespace celeryline
--- /dev/null
+++ b/include/celeryline/machines/PoolPlan.h
@@ -0,0 +1,76 @@
+/// @file
+/// The decision which machines change their pool.
+#pragma once
+
+#include "celeryline/base/Millis.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace celeryline {
+
+/// What the jobs of a pool ask for. Work is in core-milliseconds, use in thousandths of a core.
+struct PoolDemand {
+    std::string pool;
+    std::int64_t backlog = 0; ///< Work that waits, whether its turn has come or not.
+    std::int64_t inUse = 0; ///< Thousandths of a core that run tasks with an end.
+    std::int64_t lasting = 0; ///< Thousandths of a core that long-running tasks reserve.
+    std::int64_t arrivals = 0; ///< Work that was submitted lately, in thousandths of a core.
+};
+
+/// A machine that could change its pool.
+struct PoolMachine {
+    std::string machine;
+    std::string pool;
+    std::int64_t cores = 0; ///< Thousandths.
+    bool isStandby = false; ///< Its pool is off.
+    bool isPinned = false; ///< Holds tasks that last, or is due for something else.
+    bool isFresh = false; ///< It came to its pool so recently that its tasks have hardly begun.
+    std::int64_t inUse = 0; ///< Thousandths of a core in use.
+};
+
+/// A machine that changes its pool.
+struct PoolMove {
+    std::string machine;
+    std::string pool; ///< The new one.
+};
+
+inline bool operator==(const PoolMove& a, const PoolMove& b)
+{
+    return a.machine == b.machine && a.pool == b.pool;
+}
+
+/// Constants of planPoolMoves().
+struct PoolPlanOptions {
+    Millis horizon { 2000 }; ///< A backlog should be worked off in so much time.
+    double usableShare = 0.85; ///< Part of a machine that tasks of mixed sizes fill.
+    bool usesStandby = true; ///< Machines that are off may be taken.
+};
+
+/// @param demand what a pool's jobs ask for.
+/// @param options constants.
+/// @return thousandths of a core that the pool should have.
+std::int64_t wantedCores(const PoolDemand& demand, const PoolPlanOptions& options);
+
+/// Answers a load in which queues take turns at several times their mean: pools that ask for more than they
+/// have get machines from pools that ask for less, idle ones first, and then machines that are off. A pool
+/// that lacks more is served first.
+/// @param demands what the pools' jobs ask for; pools without an entry ask for nothing.
+/// @param machines all machines that are up.
+/// @param options constants.
+/// @return the moves.
+std::vector<PoolMove> planPoolMoves(const std::vector<PoolDemand>& demands,
+    const std::vector<PoolMachine>& machines, const PoolPlanOptions& options);
+
+/// Switches machines off that no pool needs.
+/// @param demands what the pools' jobs ask for.
+/// @param machines all machines that are up.
+/// @param standbyPool the pool whose machines are off.
+/// @param options constants.
+/// @return the moves.
+std::vector<PoolMove> planSwitchOff(const std::vector<PoolDemand>& demands,
+    const std::vector<PoolMachine>& machines, const std::string& standbyPool, const PoolPlanOptions& options);
+
+} // namespace celeryline
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -47,6 +47,13 @@
     return options;
 }
 
+void ControlNode::manageMachines(MachineProvider& provider, const MachineMasterOptions& options)
+{
+    CommandLog& log = *this;
+    m_machines = std::make_unique<MachineMaster>(
+        options, m_master, m_store, log, provider, [this] { return moment(); });
+}
+
 kj::Promise<ForwardedResponse> ControlNode::request(ForwardedRequest request, Millis timeout)
 {
     if (!isLeading())
@@ -159,6 +166,8 @@
     m_isStoring = false;
     noteRole();
     m_master.tick();
+    if (m_machines)
+        m_machines->tick();
     if (m_log.hasWork())
         schedulePump();
 }
@@ -174,6 +183,8 @@
     if (m_log.isLeading(m_clock.now()) && m_startedTerm != term()) {
         m_startedTerm = term();
         m_master.startTerm();
+        if (m_machines)
+            m_machines->startTerm();
     }
 }
 
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -32,6 +32,8 @@
     m_isPlanning = false;
     m_isHousekeeping = false;
     m_mustPlan = true;
+    m_reserved.clear();
+    m_recalled.clear();
 }
 
 void JobMaster::tick()
@@ -146,7 +148,7 @@
         const auto& report = state.report;
         // A runner that missed reports may be gone; what is ordered there would wait for its lease to end.
         bool isSilent = now >= state.heardAt + m_options.runnerHold;
-        if (report.isDraining || state.hasLeft || isSilent)
+        if (report.isDraining || state.hasLeft || isSilent || m_reserved.count(id) != 0)
             continue;
         auto reserved = reservedOn(report.life);
         RunnerRoom room;
@@ -235,7 +237,7 @@
 void JobMaster::addStops(const RunnerReport& report, RunnerOrders& orders) const
 {
     for (const auto& reported : report.running) {
-        if (!mustRun(reported.run, report.life))
+        if (!mustRun(reported.run, report.life) || m_recalled.count(reported.run) != 0)
             orders.stops.push_back(reported.run);
     }
 }
@@ -250,10 +252,93 @@
         [&](const TaskRun& known) { return known.number == run.run && known.life == life; });
 }
 
+RunnerUse JobMaster::useOf(const std::string& runner) const
+{
+    RunnerUse use;
+    use.isEmpty = !m_isPlanning;
+    for (auto it = m_store.runs().lower_bound({ runner, {} });
+         it != m_store.runs().end() && it->first.runner == runner; ++it) {
+        use.isEmpty = false;
+        auto reserved = reservedOn(it->first);
+        use.reserved.cpuMilli += reserved.cpuMilli;
+        use.reserved.memoryMb += reserved.memoryMb;
+        use.reserved.accelerators += reserved.accelerators;
+        for (const auto& run : it->second) {
+            const auto* step = m_store.findStep(run.task);
+            if (step != nullptr && step->isLongRunning)
+                use.lasting.push_back(run);
+        }
+    }
+    return use;
+}
+
+bool JobMaster::isAtWork(const TaskName& task, const TaskState& state) const
+{
+    constexpr std::int64_t atWork = 100;
+    for (const auto& run : state.runs) {
+        RunName name { task, run.number };
+        const auto* runner = m_runners.find(run.life);
+        if (runner == nullptr || m_recalled.count(name) != 0)
+            continue;
+        for (const auto& reported : runner->report.running) {
+            if (reported.run == name && reported.percent >= atWork)
+                return true;
+        }
+    }
+    return false;
+}
+
+bool JobMaster::mayRecall(const RunName& run) const
+{
+    const auto* job = m_store.findJob(run.task.job);
+    const auto* spec = m_store.findStep(run.task);
+    if (job == nullptr || spec == nullptr || job->phase != JobPhase::Open || !spec->isLongRunning)
+        return false;
+    const auto& step = job->occurrences.at(run.task.occurrence)[run.task.step];
+    std::uint32_t away = 0;
+    auto other = run.task;
+    for (other.index = 0; other.index < step.tasks.size(); ++other.index) {
+        if (other.index != run.task.index && !isAtWork(other, step.tasks[other.index]))
+            ++away;
+    }
+    if (away + 1 > std::max<std::uint32_t>(1, spec->mayMiss))
+        return false;
+    const auto* queue = findQueue(m_store.configuration(), job->spec.queue);
+    return queue != nullptr && hasRoomFor(rooms(), *spec, step, queue->service);
+}
+
+bool JobMaster::recall(const RunName& run)
+{
+    if (m_recalled.count(run) != 0)
+        return true;
+    if (!m_log.isLeading() || !mayRecall(run))
+        return false;
+    m_recalled.insert(run);
+    return true;
+}
+
+void JobMaster::endRunner(const std::string& runner)
+{
+    m_runners.leave(runner, m_clock().steady);
+    std::vector<JobCommand> commands;
+    for (auto it = m_store.runs().lower_bound({ runner, {} });
+         it != m_store.runs().end() && it->first.runner == runner; ++it) {
+        for (const auto& run : it->second)
+            commands.push_back(EndRun { run, RunEnd::Lost, "" });
+    }
+    if (!commands.empty())
+        m_log.propose(commands, [this](bool) { plan(); });
+}
+
 void JobMaster::endLostRuns()
 {
     std::vector<JobCommand> commands;
     auto now = m_clock().steady;
+    for (auto it = m_recalled.begin(); it != m_recalled.end();) {
+        const auto* task = m_store.findTask(it->task);
+        bool isOver = task == nullptr || task->runs.empty() || task->lastRun != it->run;
+        it = isOver ? m_recalled.erase(it) : std::next(it);
+    }
     for (const auto& [life, runs] : m_store.runs()) {
         if (!m_runners.isOver(life, now))
             continue;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -18,6 +18,27 @@
     return std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
 }
 
+/// @return how many tasks of a step each runner holds.
+std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
+{
+    std::map<std::string, std::uint32_t> onRunner;
+    for (const auto& task : step.tasks) {
+        for (const auto& run : task.runs)
+            ++onRunner[run.life.runner];
+    }
+    return onRunner;
+}
+
+/// @return whether a runner may take one more task of a step.
+bool isAllowed(const StepSpec& spec, const RunnerRoom& room, std::int64_t here)
+{
+    if (!fits(reservedBy(spec), room.free))
+        return false;
+    if (!spec.requiredLabel.empty() && !hasLabel(room, spec.requiredLabel))
+        return false;
+    return spec.maxPerRunner == 0 || here < spec.maxPerRunner;
+}
+
 void reserve(RunnerRoom& room, const Resources& demand)
 {
     room.free.cpuMilli -= demand.cpuMilli;
@@ -62,13 +83,10 @@
 
     void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const Pool& pool)
     {
-        std::map<std::string, std::uint32_t> onRunner; // Tasks of this step by runner.
+        auto onRunner = tasksByRunner(step);
         std::uint32_t lastRun = 0;
-        for (const auto& task : step.tasks) {
+        for (const auto& task : step.tasks)
             lastRun = std::max(lastRun, task.lastRun);
-            for (const auto& run : task.runs)
-                ++onRunner[run.life.runner];
-        }
         // A gang starts again only when all members of the earlier start are gone.
         if (spec.isGang && step.active > 0)
             return;
@@ -98,17 +116,12 @@
     RunnerRoom* chooseRoom(
         const StepSpec& spec, const Pool& pool, const std::map<std::string, std::uint32_t>& onRunner) const
     {
-        auto demand = reservedBy(spec);
         RunnerRoom* best = nullptr;
         auto bestKey = std::make_tuple(true, std::int64_t(0), std::int64_t(0));
         for (auto* room : pool) {
-            if (!fits(demand, room->free))
-                continue;
-            if (!spec.requiredLabel.empty() && !hasLabel(*room, spec.requiredLabel))
-                continue;
             auto found = onRunner.find(room->life.runner);
             std::int64_t here = found == onRunner.end() ? 0 : found->second;
-            if (spec.maxPerRunner != 0 && here >= spec.maxPerRunner)
+            if (!isAllowed(spec, *room, here))
                 continue;
             bool isFar = !spec.dataRack.empty() && !hasLabel(*room, spec.dataRack);
             // What lasts is spread, so that one lost runner takes few tasks of a step with it.
@@ -174,6 +187,15 @@
     return ranks;
 }
 
+bool hasRoomFor(
+    std::vector<RunnerRoom> rooms, const StepSpec& spec, const StepState& step, const std::string& service)
+{
+    auto onRunner = tasksByRunner(step);
+    return std::any_of(rooms.begin(), rooms.end(), [&](const RunnerRoom& room) {
+        return room.service == service && isAllowed(spec, room, onRunner[room.life.runner]);
+    });
+}
+
 std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow)
 {
     Planner planner(store, std::move(rooms));
--- /dev/null
+++ b/src/machines/ArrivalRate.cpp
@@ -0,0 +1,50 @@
+#include "celeryline/machines/ArrivalRate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace celeryline {
+namespace {
+
+/// Short against a peak of some seconds, long against the gaps between jobs.
+constexpr double averagingMs = 1000;
+
+} // namespace
+
+std::int64_t estimatedWork(const JobSpec& job)
+{
+    std::int64_t work = 0;
+    for (const auto& step : job.steps) {
+        if (!step.isLongRunning)
+            work += step.count * step.demand.cpuMilli * step.estimate.count / 1000;
+    }
+    return work;
+}
+
+void ArrivalRate::update(const JobStore& store, Millis now)
+{
+    auto elapsed = static_cast<double>((now - m_updatedAt).count);
+    m_updatedAt = now;
+    double kept = std::exp(-elapsed / averagingMs);
+    for (auto& [pool, rate] : m_rates)
+        rate *= kept;
+    std::set<std::string> open;
+    for (const auto& id : store.openJobs()) {
+        open.insert(id);
+        if (m_seen.count(id) != 0)
+            continue;
+        const auto& job = *store.findJob(id);
+        const auto* queue = findQueue(store.configuration(), job.spec.queue);
+        if (queue != nullptr)
+            m_rates[queue->service] += static_cast<double>(estimatedWork(job.spec)) * 1000 / averagingMs;
+    }
+    m_seen = std::move(open);
+}
+
+std::int64_t ArrivalRate::of(const std::string& pool) const
+{
+    auto found = m_rates.find(pool);
+    return found == m_rates.end() ? 0 : static_cast<std::int64_t>(found->second);
+}
+
+} // namespace celeryline
--- /dev/null
+++ b/src/machines/MachineMaster.cpp
@@ -0,0 +1,358 @@
+#include "celeryline/machines/MachineMaster.h"
+
+#include "celeryline/settings/Logging.h"
+
+#include <algorithm>
+
+namespace celeryline {
+namespace {
+
+/// A machine that can't be emptied in this time stays where it is.
+constexpr Millis longestEmptying { 3000 };
+/// Until an order without an answer is sent again.
+constexpr Millis orderRetry { 700 };
+/// Until the new runner has reported.
+constexpr Millis arrivalMargin { 300 };
+
+/// Adds what the steps of one occurrence ask for.
+void addSteps(const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, PoolDemand& demand)
+{
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+        const auto& spec = specs[i];
+        const auto& step = steps[i];
+        auto cores = reservedBy(spec).cpuMilli;
+        auto count = static_cast<std::int64_t>(step.tasks.size());
+        if (spec.isLongRunning) {
+            demand.lasting += count * cores;
+            continue;
+        }
+        demand.inUse += step.active * cores;
+        demand.backlog += (count - step.done - step.active) * cores * spec.estimate.count / 1000;
+    }
+}
+
+} // namespace
+
+MachineMaster::MachineMaster(MachineMasterOptions options, JobMaster& jobs, const JobStore& store,
+    CommandLog& log, MachineProvider& provider, std::function<Moment()> clock)
+    : m_options(std::move(options))
+    , m_jobs(jobs)
+    , m_store(store)
+    , m_log(log)
+    , m_provider(provider)
+    , m_clock(std::move(clock))
+{
+}
+
+void MachineMaster::startTerm()
+{
+    m_term = m_log.term();
+    m_quietUntil = m_clock().steady + m_options.quietTime;
+    m_isListing = false;
+    m_machines.clear();
+    m_tasks.clear();
+    for (const auto& [number, wave] : m_store.waves()) {
+        for (const auto& machine : wave.begun) {
+            // The earlier leader may have ordered it; the same order again does no harm.
+            if (wave.done.count(machine) == 0)
+                m_tasks[machine] = { number, "", Stage::Emptying, m_clock().steady };
+        }
+    }
+}
+
+void MachineMaster::tick()
+{
+    if (!m_log.isLeading() || m_term != m_log.term())
+        return;
+    auto now = m_clock().steady;
+    if (now >= m_nextList && !m_isListing)
+        refreshList();
+    if (now >= m_nextPlan) {
+        m_nextPlan = now + m_options.planInterval;
+        m_arrivals.update(m_store, now);
+        if (now >= m_quietUntil && !m_machines.empty())
+            planAll();
+    }
+    if (now >= m_quietUntil)
+        advanceTasks();
+}
+
+void MachineMaster::refreshList()
+{
+    m_isListing = true;
+    m_nextList = m_clock().steady + m_options.listInterval;
+    m_provider.list([this, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
+        m_isListing = false;
+        if (machines && term == m_log.term())
+            takeList(*machines);
+    });
+}
+
+void MachineMaster::takeList(const std::vector<MachineInfo>& machines)
+{
+    std::map<std::string, Machine> known;
+    for (const auto& info : machines) {
+        auto found = m_machines.find(info.machine);
+        // While something is done to a machine, the list may be older than what was ordered.
+        bool isInWork = m_tasks.count(info.machine) != 0 && found != m_machines.end();
+        Machine machine;
+        machine.info = isInWork ? found->second.info : info;
+        bool isSamePool = found != m_machines.end() && found->second.info.pool == machine.info.pool;
+        machine.inPoolSince = isSamePool ? found->second.inPoolSince : m_clock().steady;
+        known[info.machine] = std::move(machine);
+    }
+    m_machines = std::move(known);
+}
+
+std::vector<PoolDemand> MachineMaster::demands()
+{
+    std::map<std::string, PoolDemand> byPool;
+    for (const auto& queue : m_store.configuration().queues) {
+        auto& demand = byPool[queue.service];
+        demand.pool = queue.service;
+        demand.arrivals = m_arrivals.of(queue.service);
+    }
+    for (const auto& id : m_store.openJobs()) {
+        const auto& job = *m_store.findJob(id);
+        const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
+        if (queue == nullptr)
+            continue;
+        for (const auto& [occurrence, steps] : job.occurrences)
+            addSteps(job.spec.steps, steps, byPool[queue->service]);
+    }
+    std::vector<PoolDemand> demands;
+    for (auto& [pool, demand] : byPool)
+        demands.push_back(std::move(demand));
+    return demands;
+}
+
+bool MachineMaster::isStandbyPool(const std::string& pool) const
+{
+    const auto& pools = m_store.configuration().pools;
+    return std::any_of(pools.begin(), pools.end(),
+        [&](const PoolSettings& settings) { return settings.service == pool && settings.isStandby; });
+}
+
+std::string MachineMaster::standbyPool() const
+{
+    for (const auto& pool : m_store.configuration().pools) {
+        if (pool.isStandby)
+            return pool.service;
+    }
+    return "";
+}
+
+std::vector<PoolMachine> MachineMaster::poolMachines() const
+{
+    std::vector<PoolMachine> machines;
+    auto now = m_clock().steady;
+    for (const auto& [name, known] : m_machines) {
+        if (known.info.state != MachineState::Up)
+            continue;
+        auto use = m_jobs.useOf(known.info.runner);
+        PoolMachine machine;
+        machine.machine = name;
+        machine.pool = known.info.pool;
+        machine.cores = known.info.capacity.cpuMilli;
+        machine.isStandby = isStandbyPool(known.info.pool);
+        machine.isPinned = !use.lasting.empty() || m_tasks.count(name) != 0;
+        machine.isFresh = !machine.isStandby && now < known.inPoolSince + m_options.freshTime;
+        machine.inUse = use.reserved.cpuMilli;
+        machines.push_back(std::move(machine));
+    }
+    return machines;
+}
+
+void MachineMaster::planAll()
+{
+    auto wanted = demands();
+    auto machines = poolMachines();
+    planWaves(wanted, machines);
+    planMoves(wanted, machines);
+    publishReserved();
+}
+
+void MachineMaster::planWaves(
+    const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
+{
+    std::map<std::string, std::int64_t> spare;
+    for (const auto& machine : machines) {
+        if (m_tasks.count(machine.machine) == 0)
+            spare[machine.pool] += machine.cores;
+    }
+    for (const auto& demand : demands)
+        spare[demand.pool] -= wantedCores(demand, m_options.pools);
+    for (const auto& [number, wave] : m_store.waves()) {
+        if (wave.done.size() < wave.order.machines.size())
+            planWave(wave, spare);
+    }
+}
+
+void MachineMaster::planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& spare)
+{
+    UpkeepSituation situation;
+    situation.maxAtOnce = wave.order.maxAtOnce;
+    situation.timeLeft = wave.order.startedAt + wave.order.deadline - m_clock().wall;
+    situation.spareCores = spare;
+    std::vector<DueMachine> due;
+    for (const auto& name : wave.order.machines) {
+        auto task = m_tasks.find(name);
+        if (task != m_tasks.end()) {
+            situation.away += task->second.wave == wave.order.wave ? 1 : 0;
+            continue;
+        }
+        auto known = m_machines.find(name);
+        if (wave.done.count(name) != 0 || known == m_machines.end()
+            || known->second.info.state != MachineState::Up)
+            continue;
+        const auto& info = known->second.info;
+        auto inUse = m_jobs.useOf(info.runner).reserved.cpuMilli;
+        due.push_back({ name, info.pool, info.capacity.cpuMilli, inUse, isStandbyPool(info.pool) });
+    }
+    for (const auto& name : planUpkeep(std::move(due), situation))
+        m_tasks[name] = { wave.order.wave, "", Stage::Emptying, m_clock().steady };
+}
+
+void MachineMaster::planMoves(
+    const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
+{
+    std::vector<PoolMachine> free;
+    for (const auto& machine : machines) {
+        if (m_tasks.count(machine.machine) == 0)
+            free.push_back(machine);
+    }
+    // Machines on their way already count for the pool that they go to.
+    for (const auto& [name, task] : m_tasks) {
+        auto known = m_machines.find(name);
+        if (known == m_machines.end())
+            continue;
+        const auto& info = known->second.info;
+        auto pool = task.pool.empty() ? info.pool : task.pool;
+        free.push_back({ name, pool, info.capacity.cpuMilli, isStandbyPool(pool), true, true, 0 });
+    }
+    for (const auto& move : planPoolMoves(demands, free, m_options.pools))
+        m_tasks[move.machine] = { 0, move.pool, Stage::Emptying, m_clock().steady };
+}
+
+void MachineMaster::publishReserved()
+{
+    std::set<std::string> runners;
+    for (const auto& [name, task] : m_tasks) {
+        auto known = m_machines.find(name);
+        if (known != m_machines.end() && !known->second.info.runner.empty())
+            runners.insert(known->second.info.runner);
+    }
+    m_jobs.setReserved(std::move(runners));
+}
+
+void MachineMaster::advanceTasks()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, task] : m_tasks)
+        names.push_back(name);
+    for (const auto& name : names) {
+        auto found = m_tasks.find(name);
+        if (found != m_tasks.end())
+            advance(name, found->second);
+    }
+}
+
+void MachineMaster::advance(const std::string& machine, Task& task)
+{
+    auto now = m_clock().steady;
+    auto known = m_machines.find(machine);
+    auto runner = known == m_machines.end() ? std::string() : known->second.info.runner;
+    if (task.stage == Stage::Emptying) {
+        if (!m_jobs.useOf(runner).isEmpty) {
+            if (task.wave == 0 && now >= task.since + longestEmptying) {
+                m_tasks.erase(machine);
+                publishReserved();
+            } else {
+                recallLasting(runner);
+            }
+            return;
+        }
+        if (task.wave != 0) {
+            record(machine, task.wave);
+        } else {
+            order(machine, task);
+        }
+    } else if (task.stage == Stage::Ordered && now >= task.since + orderRetry) {
+        order(machine, task);
+    } else if (task.stage == Stage::Away) {
+        auto needed = task.wave != 0 ? m_options.upkeepTime : m_options.moveTime;
+        if (now >= task.since + needed + arrivalMargin) {
+            m_tasks.erase(machine);
+            publishReserved();
+        }
+    }
+}
+
+void MachineMaster::recallLasting(const std::string& runner)
+{
+    for (const auto& run : m_jobs.useOf(runner).lasting)
+        m_jobs.recall(run);
+}
+
+void MachineMaster::record(const std::string& machine, std::uint64_t wave)
+{
+    auto& task = m_tasks[machine];
+    task.stage = Stage::Recording;
+    task.since = m_clock().steady;
+    m_log.propose({ NoteUpkeep { wave, machine, false } }, [this, machine](bool isCommitted) {
+        auto found = m_tasks.find(machine);
+        if (isCommitted && found != m_tasks.end())
+            order(machine, found->second);
+    });
+}
+
+void MachineMaster::order(const std::string& machine, Task& task)
+{
+    // The process may have been frozen; without its lease another instance may give orders.
+    if (!m_log.isLeading())
+        return;
+    task.stage = Stage::Ordered;
+    task.since = m_clock().steady;
+    auto done = [this, machine, term = m_term](MachineOutcome outcome) {
+        if (term == m_log.term() && m_log.isLeading())
+            finishOrder(machine, outcome);
+    };
+    if (task.wave != 0) {
+        m_provider.beginUpkeep(machine, task.wave, lease(), done);
+    } else {
+        m_provider.move(machine, task.pool, lease(), done);
+    }
+}
+
+void MachineMaster::finishOrder(const std::string& machine, MachineOutcome outcome)
+{
+    auto found = m_tasks.find(machine);
+    if (found == m_tasks.end() || found->second.stage != Stage::Ordered)
+        return;
+    auto& task = found->second;
+    auto known = m_machines.find(machine);
+    LOG4CXX_INFO(logger("machines"),
+        (task.wave != 0 ? "upkeep of " : "move of ") << machine << ": outcome " << static_cast<int>(outcome));
+    if (outcome == MachineOutcome::Throttled || outcome == MachineOutcome::Unknown)
+        return; // It is sent again.
+    bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
+    if (task.wave != 0 && isOver)
+        m_log.propose({ NoteUpkeep { task.wave, machine, true } }, [](bool) {});
+    if (outcome != MachineOutcome::Done) {
+        m_tasks.erase(found);
+        publishReserved();
+        return;
+    }
+    task.stage = Stage::Away;
+    task.since = m_clock().steady;
+    if (known == m_machines.end())
+        return;
+    m_jobs.endRunner(known->second.info.runner);
+    known->second.info.runner.clear();
+    if (task.wave == 0) {
+        known->second.info.pool = task.pool;
+        known->second.inPoolSince = task.since;
+    }
+}
+
+} // namespace celeryline
