Keep machines with an unknown runner and enough machines for tasks kept apart

Ruled out: two recalls in one step, which the set of recalled runs excludes.

A machine is now available only if its runner is known or it is off, and a pool keeps, or gets, as many machines as its tasks need to be kept apart. A machine that left the list counts as done for its wave.

--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -18,6 +18,8 @@
     std::int64_t inUse = 0; ///< Thousandths of a core that run tasks with an end.
     std::int64_t lasting = 0; ///< Thousandths of a core that long-running tasks reserve.
     std::int64_t arrivals = 0; ///< Work that was submitted lately, in thousandths of a core.
+    std::uint32_t fewestMachines
+        = 0; ///< So many different machines are needed for tasks that are kept apart.
 };
 
 /// A machine that could change its pool.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -24,6 +24,10 @@
         auto count = static_cast<std::int64_t>(step.tasks.size());
         if (spec.isLongRunning) {
             demand.lasting += count * cores;
+            auto perMachine = std::max<std::uint32_t>(1, spec.maxPerRunner);
+            auto apart = (spec.count + perMachine - 1) / perMachine;
+            if (spec.maxPerRunner != 0)
+                demand.fewestMachines = std::max(demand.fewestMachines, apart);
             continue;
         }
         demand.inUse += step.active * cores;
@@ -51,6 +55,7 @@
     m_isListing = false;
     m_machines.clear();
     m_tasks.clear();
+    m_gone.clear();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
             // The earlier leader may have ordered it; the same order again does no harm.
@@ -142,12 +147,18 @@
     return "";
 }
 
+bool MachineMaster::isAvailable(const MachineInfo& info) const
+{
+    // What runs on a machine is known by its runner only; standby machines have none.
+    return info.state == MachineState::Up && (!info.runner.empty() || isStandbyPool(info.pool));
+}
+
 std::vector<PoolMachine> MachineMaster::poolMachines() const
 {
     std::vector<PoolMachine> machines;
     auto now = m_clock().steady;
     for (const auto& [name, known] : m_machines) {
-        if (known.info.state != MachineState::Up)
+        if (!isAvailable(known.info))
             continue;
         auto use = m_jobs.useOf(known.info.runner);
         PoolMachine machine;
@@ -176,12 +187,21 @@
     const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
 {
     std::map<std::string, std::int64_t> spare;
+    std::map<std::string, std::int64_t> beyondFewest;
+    for (const auto& demand : demands)
+        beyondFewest[demand.pool] = -static_cast<std::int64_t>(demand.fewestMachines);
     for (const auto& machine : machines) {
-        if (m_tasks.count(machine.machine) == 0)
-            spare[machine.pool] += machine.cores;
+        if (m_tasks.count(machine.machine) != 0)
+            continue;
+        spare[machine.pool] += machine.cores;
+        // Machines above the number that tasks need to be kept apart.
+        beyondFewest[machine.pool] += 1;
     }
-    for (const auto& demand : demands)
+    for (const auto& demand : demands) {
         spare[demand.pool] -= wantedCores(demand, m_options.pools);
+        if (beyondFewest[demand.pool] <= 0)
+            spare[demand.pool] = 0;
+    }
     for (const auto& [number, wave] : m_store.waves()) {
         if (wave.done.size() < wave.order.machines.size())
             planWave(wave, spare);
@@ -201,9 +221,12 @@
             situation.away += task->second.wave == wave.order.wave ? 1 : 0;
             continue;
         }
+        if (wave.done.count(name) != 0)
+            continue;
         auto known = m_machines.find(name);
-        if (wave.done.count(name) != 0 || known == m_machines.end()
-            || known->second.info.state != MachineState::Up)
+        if (known == m_machines.end())
+            noteGone(wave.order.wave, name);
+        if (known == m_machines.end() || !isAvailable(known->second.info))
             continue;
         const auto& info = known->second.info;
         auto inUse = m_jobs.useOf(info.runner).reserved.cpuMilli;
@@ -213,6 +236,13 @@
         m_tasks[name] = { wave.order.wave, "", Stage::Emptying, m_clock().steady };
 }
 
+void MachineMaster::noteGone(std::uint64_t wave, const std::string& machine)
+{
+    // A machine that was taken off the list can't have its upkeep any more.
+    if (m_gone.insert(machine).second)
+        m_log.propose({ NoteUpkeep { wave, machine, true } }, [](bool) {});
+}
+
 void MachineMaster::planMoves(
     const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
 {
@@ -261,7 +291,9 @@
 {
     auto now = m_clock().steady;
     auto known = m_machines.find(machine);
-    auto runner = known == m_machines.end() ? std::string() : known->second.info.runner;
+    if (known == m_machines.end())
+        return;
+    auto runner = known->second.info.runner;
     if (task.stage == Stage::Emptying) {
         if (!m_jobs.useOf(runner).isEmpty) {
             if (task.wave == 0 && now >= task.since + longestEmptying) {
@@ -348,7 +380,8 @@
     if (known == m_machines.end())
         return;
     m_jobs.endRunner(known->second.info.runner);
-    known->second.info.runner.clear();
+    known->second.info.runner.clear(); // The next list names the new one.
+    known->second.info.state = task.wave != 0 ? MachineState::Upkeep : MachineState::Moving;
     if (task.wave == 0) {
         known->second.info.pool = task.pool;
         known->second.inPoolSince = task.since;
--- a/src/machines/PoolPlan.cpp
+++ b/src/machines/PoolPlan.cpp
@@ -10,8 +10,36 @@
 struct Balance {
     std::int64_t has = 0;
     std::int64_t wants = 0;
+    std::uint32_t machines = 0;
+    std::uint32_t fewestMachines = 0;
 
     std::int64_t lacks() const { return wants - has; }
+
+    void add(const PoolMachine& machine)
+    {
+        has += machine.cores;
+        ++machines;
+    }
+
+    /// @return whether the pool can do without a machine.
+    bool canGive(const PoolMachine& machine) const
+    {
+        return lacks() + machine.cores <= 0 && machines > fewestMachines;
+    }
+
+    void remove(const PoolMachine& machine)
+    {
+        has -= machine.cores;
+        --machines;
+    }
+
+    /// @return what the pool lacks, counting machines that are needed to keep tasks apart as wholes.
+    std::int64_t lacksFor(std::int64_t coresOfMachine) const
+    {
+        if (machines >= fewestMachines)
+            return lacks();
+        return std::max(lacks(), (fewestMachines - machines) * coresOfMachine);
+    }
 };
 
 using Balances = std::map<std::string, Balance>;
@@ -20,11 +48,13 @@
     const PoolPlanOptions& options)
 {
     Balances balances;
-    for (const auto& demand : demands)
+    for (const auto& demand : demands) {
         balances[demand.pool].wants = wantedCores(demand, options);
+        balances[demand.pool].fewestMachines = demand.fewestMachines;
+    }
     for (const auto& machine : machines) {
         if (!machine.isStandby)
-            balances[machine.pool].has += machine.cores;
+            balances[machine.pool].add(machine);
     }
     return balances;
 }
@@ -60,20 +90,22 @@
     auto balances = balancesOf(demands, machines, options);
     std::vector<PoolMove> moves;
     for (const auto* donor : donorsOf(machines)) {
-        auto neediest = std::max_element(balances.begin(), balances.end(),
-            [](const auto& a, const auto& b) { return a.second.lacks() < b.second.lacks(); });
+        auto cores = donor->cores;
+        auto neediest
+            = std::max_element(balances.begin(), balances.end(), [cores](const auto& a, const auto& b) {
+                  return a.second.lacksFor(cores) < b.second.lacksFor(cores);
+              });
         // Half a machine is the point from which a move brings more than it costs.
-        if (neediest == balances.end() || neediest->second.lacks() < donor->cores / 2)
+        if (neediest == balances.end() || neediest->second.lacksFor(cores) < cores / 2)
             break;
         if (neediest->first == donor->pool || (donor->isStandby && !options.usesStandby))
             continue;
         auto& giver = balances[donor->pool];
-        bool hasSurplus = donor->isStandby || giver.lacks() + donor->cores <= 0;
-        if (!hasSurplus)
+        if (!donor->isStandby && !giver.canGive(*donor))
             continue;
         if (!donor->isStandby)
-            giver.has -= donor->cores;
-        neediest->second.has += donor->cores;
+            giver.remove(*donor);
+        neediest->second.add(*donor);
         moves.push_back({ donor->machine, neediest->first });
     }
     return moves;
@@ -86,9 +118,9 @@
     std::vector<PoolMove> moves;
     for (const auto* donor : donorsOf(machines)) {
         auto& giver = balances[donor->pool];
-        if (donor->isStandby || donor->inUse > 0 || giver.lacks() + donor->cores > 0)
+        if (donor->isStandby || donor->inUse > 0 || !giver.canGive(*donor))
             continue;
-        giver.has -= donor->cores;
+        giver.remove(*donor);
         moves.push_back({ donor->machine, standbyPool });
     }
     return moves;
