Let a new leader order at once the machines that its predecessor left alone

The rule that two holders must not take turns within the lease holds for each machine by itself.

Each move is now committed before its order, as upkeep was; every replica notes when it came, and a new leader waits only with machines that were ordered lately. Work of jobs that are late gets machines that idle, and jobs beyond three times their objective, whose result is of no use, come last.

Its member now comes before the log.

--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -93,7 +93,7 @@
 
     void apply(const LogEntry& entry) override;
     std::string takeSnapshot() const override { return m_store.takeSnapshot(); }
-    void restoreSnapshot(const std::string& bytes) override { m_store.restoreSnapshot(bytes); }
+    void restoreSnapshot(const std::string& bytes) override;
 
     void taskFailed(kj::Exception&& exception) override;
 
@@ -111,9 +111,9 @@
     kj::Timer& m_timer;
     const Clock& m_clock;
     JobStore m_store;
+    std::unique_ptr<MachineMaster> m_machines; ///< Null if no machines are managed; the log looks at it.
     LogDriver m_log;
     JobMaster m_master;
-    std::unique_ptr<MachineMaster> m_machines; ///< Null if this process manages no machines.
     Formation m_formation;
     ControlLinks m_links;
     LeaderClient m_client;
--- a/include/celeryline/jobs/JobCommand.h
+++ b/include/celeryline/jobs/JobCommand.h
@@ -80,9 +80,16 @@
     bool isDone = false;
 };
 
+/// States that a machine is about to be ordered to another pool. Changes no state: each replica notes when it
+/// came, so that after a change of leader the machine gets no order too soon after the earlier leader's.
+struct NoteMove {
+    std::string machine;
+    std::string pool;
+};
+
 /// A change of the replicated job state.
 using JobCommand = std::variant<AcceptConfiguration, SubmitJob, CancelJob, OpenOccurrence, StartRun, EndRun,
-    ForgetJob, StartWave, NoteUpkeep>;
+    ForgetJob, StartWave, NoteUpkeep, NoteMove>;
 
 /// @return the bytes of a command, as in the payload of a log entry.
 std::string encodeJobCommand(const JobCommand& command);
--- a/include/celeryline/jobs/JobSerialization.h
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -103,6 +103,11 @@
     archive(value.wave, value.machine, value.isDone);
 }
 
+template <typename Archive> void serialize(Archive& archive, NoteMove& value)
+{
+    archive(value.machine, value.pool);
+}
+
 template <typename Archive> void serialize(Archive& archive, TaskRun& value)
 {
     archive(value.number, value.life);
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -62,6 +62,7 @@
     void accept(const ForgetJob& command, Millis time);
     void accept(const StartWave& command, Millis time);
     void accept(const NoteUpkeep& command, Millis time);
+    void accept(const NoteMove&, Millis) { }
 
     JobState* mutableJob(const std::string& id);
     std::vector<StepState>* mutableSteps(const TaskName& task);
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -23,11 +23,13 @@
     std::string job;
     bool isLongRunning = false;
     bool isLate = false; ///< Can't meet its objective any more.
+    bool isExpired = false; ///< So late that its result is of no use to the caller.
     std::uint32_t priority = 0;
     Millis slack; ///< Time until its remaining work must have started to meet the objective.
 };
 
-/// Long-running jobs first, then those that can still meet their objective by slack, then late ones.
+/// Long-running jobs first, then those that can still meet their objective by slack, then late ones, then
+/// expired ones.
 bool operator<(const JobRank& a, const JobRank& b);
 
 /// @param spec steps of a job.
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -19,7 +19,9 @@
 /// Constants of MachineMaster.
 struct MachineMasterOptions {
     std::string holder; ///< Name of this instance in orders for machines.
-    Millis quietTime { 3500 }; ///< After a change of leader, until the earlier one's lease of machines ended.
+    /// From an order for a machine until another holder may give one. An earlier leader's order counts from
+    /// when it was committed here.
+    Millis quietTime { 3500 };
     Millis moveTime { 1500 }; ///< From a move's order until the new runner is up.
     Millis upkeepTime { 2000 }; ///< From an upkeep's order until the new runner is up.
     Millis listInterval { 1000 };
@@ -43,6 +45,12 @@
     /// Begins a term of leadership.
     void startTerm();
 
+    /// Takes notice of a committed command, on every replica.
+    void noteCommitted(const JobCommand& command);
+
+    /// Takes notice that the state was replaced by a snapshot, which doesn't tell when machines were ordered.
+    void noteSnapshot();
+
     /// Lets time pass. Call it every few tens of milliseconds.
     void tick();
 
@@ -79,7 +87,8 @@
     void advanceTasks();
     void advance(const std::string& machine, Task& task);
     void recallLasting(const std::string& runner);
-    void record(const std::string& machine, std::uint64_t wave);
+    void record(const std::string& machine);
+    bool isQuiet(const std::string& machine) const;
     void order(const std::string& machine, Task& task);
     void finishOrder(const std::string& machine, MachineOutcome outcome);
     void publishReserved();
@@ -92,7 +101,9 @@
     MachineProvider& m_provider;
     std::function<Moment()> m_clock;
     std::uint64_t m_term = 0;
-    Millis m_quietUntil;
+    Millis m_termStart;
+    Millis m_snapshotAt; ///< Orders from before it count as given then.
+    std::map<std::string, Millis> m_orderedAt; ///< When the newest order for each machine was committed here.
     Millis m_nextList;
     Millis m_nextPlan;
     Millis m_nextBalanceLog;
--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -14,8 +14,9 @@
 /// What the jobs of a pool ask for. Work is in core-milliseconds, use in thousandths of a core.
 struct PoolDemand {
     std::string pool;
-    std::int64_t backlog = 0; ///< Work that waits, whether its turn has come or not.
-    std::int64_t inUse = 0; ///< Thousandths of a core that run tasks with an end.
+    std::int64_t backlog = 0; ///< Work that waits, of jobs that can still end in time.
+    std::int64_t lateBacklog = 0; ///< Work that waits, of jobs that can't.
+    std::int64_t inUse = 0; ///< Thousandths of a core that run tasks with an end, of jobs in time.
     std::int64_t lasting = 0; ///< Thousandths of a core that long-running tasks reserve.
     std::int64_t arrivals = 0; ///< Work that was submitted lately, in thousandths of a core.
     std::uint32_t fewestMachines
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -52,6 +52,8 @@
     CommandLog& log = *this;
     m_machines = std::make_unique<MachineMaster>(
         options, m_master, m_store, log, provider, [this] { return moment(); });
+    if (m_log.core().log().baseIndex() != 0)
+        m_machines->noteSnapshot();
 }
 
 kj::Promise<ForwardedResponse> ControlNode::request(ForwardedRequest request, Millis timeout)
@@ -138,7 +140,20 @@
         done(false);
 }
 
-void ControlNode::apply(const LogEntry& entry) { m_store.apply(decodeJobCommand(entry.payload), entry.time); }
+void ControlNode::apply(const LogEntry& entry)
+{
+    auto command = decodeJobCommand(entry.payload);
+    m_store.apply(command, entry.time);
+    if (m_machines)
+        m_machines->noteCommitted(command);
+}
+
+void ControlNode::restoreSnapshot(const std::string& bytes)
+{
+    m_store.restoreSnapshot(bytes);
+    if (m_machines)
+        m_machines->noteSnapshot();
+}
 
 void ControlNode::schedulePump()
 {
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -7,6 +7,9 @@
 namespace celeryline {
 namespace {
 
+/// After so many times its objective a job's result is of no use.
+constexpr std::int64_t usefulObjectives = 3;
+
 bool fits(const Resources& demand, const Resources& free)
 {
     return demand.cpuMilli <= free.cpuMilli && demand.memoryMb <= free.memoryMb
@@ -147,8 +150,8 @@
 
 bool operator<(const JobRank& a, const JobRank& b)
 {
-    return std::make_tuple(!a.isLongRunning, a.isLate, a.slack, a.job)
-        < std::make_tuple(!b.isLongRunning, b.isLate, b.slack, b.job);
+    return std::make_tuple(!a.isLongRunning, a.isExpired, a.isLate, a.slack, a.job)
+        < std::make_tuple(!b.isLongRunning, b.isExpired, b.isLate, b.slack, b.job);
 }
 
 Millis remainingChain(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps)
@@ -181,8 +184,10 @@
         auto whole = remainingChain(job.spec.steps, {});
         auto left = remainingChain(job.spec.steps, job.occurrences.begin()->second);
         Millis stretched { static_cast<std::int64_t>(queue->stretch * static_cast<double>(whole.count)) };
-        rank.slack = job.submittedAt + stretched + queue->objective - wallNow - left;
+        auto objective = stretched + queue->objective;
+        rank.slack = job.submittedAt + objective - wallNow - left;
         rank.isLate = rank.slack < Millis {};
+        rank.isExpired = wallNow + left > job.submittedAt + Millis { usefulObjectives * objective.count };
         ranks.push_back(std::move(rank));
     }
     std::sort(ranks.begin(), ranks.end());
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -19,7 +19,8 @@
 constexpr Millis goneAfter { 15000 };
 
 /// Adds what the steps of one occurrence ask for.
-void addSteps(const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, PoolDemand& demand)
+void addSteps(
+    const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, bool isLate, PoolDemand& demand)
 {
     for (std::size_t i = 0; i < steps.size(); ++i) {
         const auto& spec = specs[i];
@@ -34,8 +35,13 @@
                 demand.fewestMachines = std::max(demand.fewestMachines, apart);
             continue;
         }
-        demand.inUse += step.active * cores;
-        demand.backlog += (count - step.done - step.active) * cores * spec.estimate.count / 1000;
+        auto waiting = (count - step.done - step.active) * cores * spec.estimate.count / 1000;
+        if (isLate) {
+            demand.lateBacklog += waiting;
+        } else {
+            demand.inUse += step.active * cores;
+            demand.backlog += waiting;
+        }
     }
 }
 
@@ -55,7 +61,7 @@
 void MachineMaster::startTerm()
 {
     m_term = m_log.term();
-    m_quietUntil = m_clock().steady + m_options.quietTime;
+    m_termStart = m_clock().steady;
     m_isListing = false;
     m_machines.clear();
     m_tasks.clear();
@@ -79,11 +85,30 @@
     if (now >= m_nextPlan) {
         m_nextPlan = now + m_options.planInterval;
         m_arrivals.update(m_store, now);
-        if (now >= m_quietUntil && !m_machines.empty())
+        if (!m_machines.empty())
             planAll();
     }
-    if (now >= m_quietUntil)
-        advanceTasks();
+    advanceTasks();
+}
+
+void MachineMaster::noteCommitted(const JobCommand& command)
+{
+    auto now = m_clock().steady;
+    if (const auto* move = std::get_if<NoteMove>(&command))
+        m_orderedAt[move->machine] = now;
+    const auto* upkeep = std::get_if<NoteUpkeep>(&command);
+    if (upkeep != nullptr && !upkeep->isDone)
+        m_orderedAt[upkeep->machine] = now;
+}
+
+void MachineMaster::noteSnapshot() { m_snapshotAt = m_clock().steady; }
+
+bool MachineMaster::isQuiet(const std::string& machine) const
+{
+    auto found = m_orderedAt.find(machine);
+    auto orderedAt = found == m_orderedAt.end() ? m_snapshotAt : found->second;
+    // Orders of this term are this instance's own.
+    return orderedAt <= m_termStart && m_clock().steady < orderedAt + m_options.quietTime;
 }
 
 void MachineMaster::refreshList()
@@ -123,13 +148,15 @@
         demand.pool = queue.service;
         demand.arrivals = m_arrivals.of(queue.service);
     }
-    for (const auto& id : m_store.openJobs()) {
-        const auto& job = *m_store.findJob(id);
+    for (const auto& rank : rankJobs(m_store, m_clock().wall)) {
+        const auto& job = *m_store.findJob(rank.job);
         const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
-        if (queue == nullptr)
-            continue;
+        auto& demand = byPool[queue->service];
+        demand.fewestMachines = std::max<std::uint32_t>(1, demand.fewestMachines);
+        if (rank.isExpired)
+            continue; // It gets what others leave, on a machine at least.
         for (const auto& [occurrence, steps] : job.occurrences)
-            addSteps(job.spec.steps, steps, byPool[queue->service]);
+            addSteps(job.spec.steps, steps, rank.isLate, demand);
     }
     std::vector<PoolDemand> demands;
     for (auto& [pool, demand] : byPool)
@@ -163,7 +190,7 @@
         machine.pool = known.info.pool;
         machine.cores = known.info.capacity.cpuMilli;
         machine.isStandby = isStandbyPool(known.info.pool);
-        machine.isPinned = !use.lasting.empty() || m_tasks.count(name) != 0;
+        machine.isPinned = !use.lasting.empty() || m_tasks.count(name) != 0 || isQuiet(name);
         machine.isFresh = !machine.isStandby && now < known.inPoolSince + m_options.freshTime;
         machine.inUse = use.reserved.cpuMilli;
         machines.push_back(std::move(machine));
@@ -250,7 +277,7 @@
         auto known = m_machines.find(name);
         if (known == m_machines.end())
             noteAbsent(wave.order.wave, name);
-        if (known == m_machines.end() || !isAvailable(known->second.info))
+        if (known == m_machines.end() || !isAvailable(known->second.info) || isQuiet(name))
             continue;
         const auto& info = known->second.info;
         auto use = m_jobs.useOf(info.runner);
@@ -334,13 +361,10 @@
             }
             return;
         }
-        if (task.wave != 0) {
-            record(machine, task.wave);
-        } else {
-            order(machine, task);
-        }
+        if (!isQuiet(machine))
+            record(machine);
     } else if (task.stage == Stage::Ordered && now >= task.since + orderRetry) {
-        order(machine, task);
+        record(machine);
     } else if (task.stage == Stage::Away) {
         auto needed = task.wave != 0 ? m_options.upkeepTime : m_options.moveTime;
         if (now >= task.since + needed + arrivalMargin) {
@@ -356,12 +380,15 @@
         m_jobs.recall(run);
 }
 
-void MachineMaster::record(const std::string& machine, std::uint64_t wave)
+void MachineMaster::record(const std::string& machine)
 {
     auto& task = m_tasks[machine];
     task.stage = Stage::Recording;
     task.since = m_clock().steady;
-    m_log.propose({ NoteUpkeep { wave, machine, false } }, [this, machine](bool isCommitted) {
+    JobCommand note = NoteMove { machine, task.pool };
+    if (task.wave != 0)
+        note = NoteUpkeep { task.wave, machine, false };
+    m_log.propose({ note }, [this, machine](bool isCommitted) {
         auto found = m_tasks.find(machine);
         if (isCommitted && found != m_tasks.end())
             order(machine, found->second);
--- a/src/machines/PoolPlan.cpp
+++ b/src/machines/PoolPlan.cpp
@@ -6,6 +6,12 @@
 namespace celeryline {
 namespace {
 
+/// @return thousandths of a core that work off a backlog within the horizon.
+std::int64_t coresFor(std::int64_t backlog, const PoolPlanOptions& options)
+{
+    return backlog * 1000 / std::max<std::int64_t>(1, options.horizon.count);
+}
+
 /// What a pool has and wants, in thousandths of a core.
 struct Balance {
     std::int64_t has = 0;
@@ -75,39 +81,54 @@
     return donors;
 }
 
-} // namespace
-
-std::int64_t wantedCores(const PoolDemand& demand, const PoolPlanOptions& options)
+/// Gives machines to the pools that lack most; those that were given are removed from the donors.
+void giveMachines(std::vector<const PoolMachine*>& donors, Balances& balances, const PoolPlanOptions& options,
+    std::vector<MachineMove>& moves)
 {
-    auto perHorizon = demand.backlog * 1000 / std::max<std::int64_t>(1, options.horizon.count);
-    auto working = std::max(demand.inUse, demand.arrivals) + perHorizon;
-    return static_cast<std::int64_t>(static_cast<double>(working + demand.lasting) / options.usableShare);
-}
-
-std::vector<MachineMove> planPoolMoves(const std::vector<PoolDemand>& demands,
-    const std::vector<PoolMachine>& machines, const PoolPlanOptions& options)
-{
-    auto balances = balancesOf(demands, machines, options);
-    std::vector<MachineMove> moves;
-    for (const auto* donor : donorsOf(machines)) {
+    std::vector<const PoolMachine*> kept;
+    for (const auto* donor : donors) {
         auto cores = donor->cores;
         auto neediest
             = std::max_element(balances.begin(), balances.end(), [cores](const auto& a, const auto& b) {
                   return a.second.lacksFor(cores) < b.second.lacksFor(cores);
               });
         // Half a machine is the point from which a move brings more than it costs.
-        if (neediest == balances.end() || neediest->second.lacksFor(cores) < cores / 2)
-            break;
-        if (neediest->first == donor->pool || (donor->isStandby && !options.usesStandby))
-            continue;
-        auto& giver = balances[donor->pool];
-        if (!donor->isStandby && !giver.canGive(*donor))
+        bool isNeeded = neediest != balances.end() && neediest->second.lacksFor(cores) >= cores / 2
+            && neediest->first != donor->pool;
+        bool canGive = donor->isStandby ? options.usesStandby : balances[donor->pool].canGive(*donor);
+        if (!isNeeded || !canGive) {
+            kept.push_back(donor);
             continue;
+        }
         if (!donor->isStandby)
-            giver.remove(*donor);
+            balances[donor->pool].remove(*donor);
         neediest->second.add(*donor);
         moves.push_back({ donor->machine, neediest->first });
     }
+    donors = std::move(kept);
+}
+
+} // namespace
+
+std::int64_t wantedCores(const PoolDemand& demand, const PoolPlanOptions& options)
+{
+    auto working = std::max(demand.inUse, demand.arrivals) + coresFor(demand.backlog, options);
+    return static_cast<std::int64_t>(static_cast<double>(working + demand.lasting) / options.usableShare);
+}
+
+std::vector<MachineMove> planPoolMoves(const std::vector<PoolDemand>& demands,
+    const std::vector<PoolMachine>& machines, const PoolPlanOptions& options)
+{
+    auto balances = balancesOf(demands, machines, options);
+    auto donors = donorsOf(machines);
+    std::vector<MachineMove> moves;
+    giveMachines(donors, balances, options, moves);
+    for (const auto& demand : demands)
+        balances[demand.pool].wants += coresFor(demand.lateBacklog, options);
+    donors.erase(std::remove_if(donors.begin(), donors.end(),
+                     [](const PoolMachine* donor) { return donor->inUse > 0 || donor->isStandby; }),
+        donors.end());
+    giveMachines(donors, balances, options, moves);
     return moves;
 }
 
--- a/test/PoolPlanTest.cpp
+++ b/test/PoolPlanTest.cpp
@@ -73,6 +73,26 @@
     REQUIRE(planPoolMoves({ demand("a", 4 * cores) }, machines, withoutStandby).size() == 2);
 }
 
+// Load: after an outage one queue has a large backlog that is late already while another one begins its peak;
+// the late one kept all machines for seconds (Kromrivier trouble-1 varied with seed 12).
+TEST_CASE("Work that can still be in time comes before late work", "[pools]")
+{
+    PoolDemand late;
+    late.pool = "a";
+    late.lateBacklog = 1000 * cores;
+    auto machines = twoPools(4);
+    for (auto& each : machines)
+        each.inUse = each.pool == "a" ? cores : 0;
+    auto moves = planPoolMoves({ late, demand("b", 6 * cores) }, machines, {});
+    REQUIRE(moves.size() == 3);
+    for (const auto& move : moves)
+        REQUIRE(move.pool == "b");
+    // Without other demand the idle machines work on what is late.
+    moves = planPoolMoves({ late, demand("b", 0) }, machines, {});
+    REQUIRE(moves.size() == 4);
+    REQUIRE(moves[0].pool == "a");
+}
+
 // Guards against moving what lasts, or what has just come.
 TEST_CASE("Pinned and fresh machines stay", "[pools]")
 {
