--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -186,8 +186,10 @@
         Millis stretched { static_cast<std::int64_t>(queue->stretch * static_cast<double>(whole.count)) };
         auto objective = stretched + queue->objective;
         rank.slack = job.submittedAt + objective - wallNow - left;
-        rank.isLate = rank.slack < Millis {};
-        rank.isExpired = wallNow + left > job.submittedAt + Millis { usefulObjectives * objective.count };
+        // A long-running job has no end that could be late.
+        rank.isLate = !rank.isLongRunning && rank.slack < Millis {};
+        rank.isExpired = !rank.isLongRunning
+            && wallNow + left > job.submittedAt + Millis { usefulObjectives * objective.count };
         ranks.push_back(std::move(rank));
     }
     std::sort(ranks.begin(), ranks.end());
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -52,6 +52,18 @@
     REQUIRE(starts[2].run.task.job == "a-expired");
 }
 
+// Guards against long-running jobs that count as expired after a while, so that their pool gave up their
+// machines.
+TEST_CASE("A long-running job is never late", "[placement]")
+{
+    auto step = makeStep(1);
+    step.isLongRunning = true;
+    auto ranks = rankJobs(storeWith({ makeJob("a", { step }) }, { wall.count - 600000 }), wall);
+    REQUIRE(ranks.size() == 1);
+    REQUIRE_FALSE(ranks[0].isLate);
+    REQUIRE_FALSE(ranks[0].isExpired);
+}
+
 // Load: two jobs at once, of which one has the longer chain of steps.
 TEST_CASE("The job with less slack starts first", "[placement]")
 {
