Log decisions as JSON lines on standard output and serve metrics

Each decision is one JSON object a line: submissions, ends of jobs, starts and ends of tasks, recalls, orders for machines, balance of pools, changes of leader, configuration, start, stop, reload, lost and regained control processes. Lines about tasks have a budget of their own (60 a second), so that they can't displace those about requests (150 a second); dropped lines are counted in the next one, and standard output is never waited for. Counters and latency histograms on port 9464.

--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -1,6 +1,7 @@
 #include "celeryline/control/ControlNode.h"
 
 #include "celeryline/consensus/LogFormation.h"
+#include "celeryline/settings/EventLog.h"
 #include "celeryline/settings/Logging.h"
 
 #include <functional>
@@ -73,7 +74,7 @@
 void ControlNode::resign()
 {
     if (m_log.transferLeadership(m_clock.now()))
-        LOG4CXX_INFO(logger("control"), "hands leadership over in term " << term());
+        Event("leadership-handed-over").with("term", term()).writeAlways();
     schedulePump();
 }
 
@@ -96,9 +97,9 @@
     m_client.addAddresses(other.members);
     if (!other.formation.empty() && m_log.core().log().lastIndex() == 0
         && m_log.form(decodeFormation(other.formation)))
-        LOG4CXX_INFO(logger("control"), "joined the log that " << other.address << " formed");
+        Event("log-joined").with("founder", other.address).writeAlways();
     if (auto entry = m_formation.form(ownIntroduction())) {
-        LOG4CXX_INFO(logger("control"), "forms the log in term " << entry->term);
+        Event("log-formed").with("term", entry->term).writeAlways();
         m_log.form(*entry);
     }
     schedulePump();
@@ -192,11 +193,20 @@
     if (leader() != m_loggedLeader) {
         m_loggedLeader = leader();
         m_client.setLeader(leader() == m_options.address ? "" : leader());
-        LOG4CXX_INFO(logger("control"),
-            "leader in term " << term() << ": " << (leader().empty() ? "unknown" : leader()));
+        Event(leader().empty() ? "leader-lost" : "leader-found")
+            .with("term", term())
+            .with("leader", leader())
+            .with("voters", m_log.core().log().configuration().voters.size())
+            .with("committed", m_log.core().commitIndex())
+            .writeAlways();
     }
     if (m_log.isLeading(m_clock.now()) && m_startedTerm != term()) {
         m_startedTerm = term();
+        Event("leading")
+            .with("term", term())
+            .with("openJobs", m_store.openJobs().size())
+            .with("configuration", m_store.configuration().version)
+            .writeAlways();
         m_master.startTerm();
         if (m_machines)
             m_machines->startTerm();
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -1,12 +1,124 @@
 #include "celeryline/jobs/JobMaster.h"
 
 #include "celeryline/jobs/StartPlan.h"
+#include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
 
 namespace celeryline {
 namespace {
 
+const char* endName(RunEnd how)
+{
+    switch (how) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    case RunEnd::Refused:
+        return "refused";
+    case RunEnd::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+Event describeRun(const char* name, const RunName& run)
+{
+    Event event(name);
+    event.with("job", run.task.job)
+        .with("occurrence", run.task.occurrence)
+        .with("step", run.task.step)
+        .with("index", run.task.index)
+        .with("run", run.run);
+    return event;
+}
+
+/// Describes a caller's or operator's request.
+Event describeCommand(const JobCommand& command)
+{
+    if (const auto* submit = std::get_if<SubmitJob>(&command)) {
+        Event event("job-submitted");
+        event.with("job", submit->job.id)
+            .with("queue", submit->job.queue)
+            .with("steps", submit->job.steps.size());
+        return event;
+    }
+    if (const auto* cancel = std::get_if<CancelJob>(&command)) {
+        Event event("job-cancelled");
+        event.with("job", cancel->job);
+        return event;
+    }
+    if (const auto* accept = std::get_if<AcceptConfiguration>(&command)) {
+        Event event("configuration");
+        event.with("version", accept->configuration.version)
+            .with("queues", accept->configuration.queues.size());
+        return event;
+    }
+    if (const auto* wave = std::get_if<StartWave>(&command)) {
+        Event event("wave");
+        event.with("wave", wave->wave)
+            .with("machines", wave->machines.size())
+            .with("atOnce", wave->maxAtOnce)
+            .with("deadlineMs", wave->deadline);
+        return event;
+    }
+    return Event("request");
+}
+
+const char* phaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Open:
+        return "open";
+    case JobPhase::Completed:
+        return "completed";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+/// Logs runs that ended, and the jobs that ended with them.
+/// @param commands committed commands.
+/// @param runner runner that reported the ends; empty if its lease lapsed.
+void logEnds(const JobStore& store, const std::vector<JobCommand>& commands, const std::string& runner)
+{
+    std::set<std::string> jobs;
+    for (const auto& command : commands) {
+        const auto* end = std::get_if<EndRun>(&command);
+        if (end == nullptr)
+            continue;
+        jobs.insert(end->run.task.job);
+        describeRun("end", end->run)
+            .with("how", endName(end->how))
+            .with("runner", runner)
+            .write(EventKind::Task);
+    }
+    for (const auto& id : jobs) {
+        const auto* job = store.findJob(id);
+        // Once nothing of an ended job runs any more, its tasks are dropped.
+        if (job == nullptr || job->phase == JobPhase::Open || !job->occurrences.empty())
+            continue;
+        Event("job-ended")
+            .with("job", id)
+            .with("queue", job->spec.queue)
+            .with("phase", phaseName(job->phase))
+            .with("ageMs", job->endedAt - job->submittedAt)
+            .write();
+    }
+}
+
 bool isListed(const RunnerReport& report, const RunName& run)
 {
     auto isSame = [&](const auto& listed) { return listed.run == run; };
@@ -58,10 +170,17 @@
         done(RequestOutcome::NotLeading);
         return;
     }
-    m_log.propose({ std::move(command) }, [this, done = std::move(done)](bool isCommitted) {
-        m_mustPlan = true;
-        done(isCommitted ? RequestOutcome::Done : RequestOutcome::Unknown);
-    });
+    auto receivedAt = m_clock().steady;
+    auto event = describeCommand(command);
+    m_log.propose(
+        { std::move(command) }, [this, done = std::move(done), event, receivedAt](bool isCommitted) mutable {
+            m_mustPlan = true;
+            event.with("term", m_log.term())
+                .with("outcome", isCommitted ? "committed" : "unknown")
+                .with("afterMs", m_clock().steady - receivedAt)
+                .write();
+            done(isCommitted ? RequestOutcome::Done : RequestOutcome::Unknown);
+        });
 }
 
 void JobMaster::report(RunnerReport report, OrdersCallback done)
@@ -70,7 +189,17 @@
         done(std::nullopt);
         return;
     }
-    if (m_runners.accept(report, m_clock().steady) == nullptr) {
+    bool isNew = m_runners.find(report.life) == nullptr;
+    const auto* state = m_runners.accept(report, m_clock().steady);
+    if (state != nullptr && isNew)
+        Event("runner-found")
+            .with("runner", report.life.runner)
+            .with("born", report.life.born)
+            .with("service", report.service)
+            .with("dataCentre", report.dataCentre)
+            .with("isDraining", report.isDraining)
+            .write();
+    if (state == nullptr) {
         done(RunnerOrders {}); // A late report of an earlier moment gets no lease and no orders.
         return;
     }
@@ -84,11 +213,12 @@
         answerAfterPlan(pending);
         return;
     }
-    m_log.propose(commands, [this, pending](bool isCommitted) {
+    m_log.propose(commands, [this, pending, commands](bool isCommitted) {
         if (!isCommitted) {
             pending->done(std::nullopt);
             return;
         }
+        logEnds(m_store, commands, pending->report.life.runner);
         plan();
         answerAfterPlan(pending);
     });
@@ -120,7 +250,11 @@
     return commands;
 }
 
-void JobMaster::leave(const std::string& runner) { m_runners.leave(runner, m_clock().steady); }
+void JobMaster::leave(const std::string& runner)
+{
+    Event("runner-left").with("runner", runner).write();
+    m_runners.leave(runner, m_clock().steady);
+}
 
 Resources JobMaster::reservedOn(const RunnerLife& life) const
 {
@@ -174,8 +308,13 @@
     if (starts.empty())
         return;
     m_isPlanning = true;
-    m_log.propose({ starts.begin(), starts.end() }, [this](bool) {
+    m_log.propose({ starts.begin(), starts.end() }, [this, starts](bool isCommitted) {
         m_isPlanning = false;
+        for (const auto& start : starts)
+            describeRun("start", start.run)
+                .with("runner", start.life.runner)
+                .with("outcome", isCommitted ? "committed" : "unknown")
+                .write(EventKind::Task);
         auto waiting = std::move(m_waiting);
         m_waiting.clear();
         for (const auto& pending : waiting)
@@ -315,6 +454,7 @@
     if (!m_log.isLeading() || !mayRecall(run))
         return false;
     m_recalled.insert(run);
+    describeRun("recall", run).write();
     return true;
 }
 
@@ -349,7 +489,9 @@
     if (commands.empty())
         return;
     m_isHousekeeping = true;
-    m_log.propose(commands, [this](bool) {
+    m_log.propose(commands, [this, commands](bool isCommitted) {
+        if (isCommitted)
+            logEnds(m_store, commands, "");
         m_isHousekeeping = false;
         plan();
     });
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -1,9 +1,8 @@
 #include "celeryline/machines/MachineMaster.h"
 
-#include "celeryline/settings/Logging.h"
+#include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace celeryline {
 namespace {
@@ -18,6 +17,23 @@
 /// A machine that is not listed for a while can come back; after so long it can't have its upkeep any more.
 constexpr Millis goneAfter { 15000 };
 
+const char* outcomeName(MachineOutcome outcome)
+{
+    switch (outcome) {
+    case MachineOutcome::Done:
+        return "done";
+    case MachineOutcome::Busy:
+        return "busy";
+    case MachineOutcome::Refused:
+        return "refused";
+    case MachineOutcome::Throttled:
+        return "throttled";
+    case MachineOutcome::Unknown:
+        return "unknown";
+    }
+    return "";
+}
+
 /// Adds what the steps of one occurrence ask for.
 void addSteps(
     const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, bool isLate, PoolDemand& demand)
@@ -215,7 +231,6 @@
     if (now < m_nextBalanceLog)
         return;
     m_nextBalanceLog = now + balanceLogInterval;
-    std::ostringstream text;
     for (const auto& demand : demands) {
         int all = 0;
         int pinned = 0;
@@ -227,11 +242,17 @@
             pinned += machine.isPinned ? 1 : 0;
             inUse += machine.inUse;
         }
-        text << " " << demand.pool << ": wants " << wantedCores(demand, m_options.pools) << ", machines "
-             << all << ", pinned " << pinned << ", in use " << inUse << ", backlog " << demand.backlog
-             << ", arrivals " << demand.arrivals << ";";
+        Event("pool-balance")
+            .with("pool", demand.pool)
+            .with("wantedMilliCores", wantedCores(demand, m_options.pools))
+            .with("machines", all)
+            .with("pinned", pinned)
+            .with("inUseMilliCores", inUse)
+            .with("backlogCoreMs", demand.backlog)
+            .with("lateCoreMs", demand.lateBacklog)
+            .with("arrivingMilliCores", demand.arrivals)
+            .writeAlways();
     }
-    LOG4CXX_INFO(logger("machines"), "pools:" << text.str());
 }
 
 void MachineMaster::planWaves(
@@ -295,8 +316,11 @@
     if (now < since + goneAfter)
         return;
     m_absentSince[machine] = now;
-    LOG4CXX_INFO(
-        logger("machines"), "machine " << machine << " of wave " << wave << " is not listed any more");
+    Event("machine-gone")
+        .with("machine", machine)
+        .with("wave", wave)
+        .with("absentMs", goneAfter)
+        .writeAlways();
     m_log.propose({ NoteUpkeep { wave, machine, true } }, [](bool) {});
 }
 
@@ -420,8 +444,14 @@
         return;
     auto& task = found->second;
     auto known = m_machines.find(machine);
-    LOG4CXX_INFO(logger("machines"),
-        (task.wave != 0 ? "upkeep of " : "move of ") << machine << ": outcome " << static_cast<int>(outcome));
+    Event("machine-ordered")
+        .with("machine", machine)
+        .with("wave", task.wave)
+        .with("pool", task.pool)
+        .with("fence", m_term)
+        .with("outcome", outcomeName(outcome))
+        .with("afterMs", m_clock().steady - task.since)
+        .writeAlways();
     if (outcome == MachineOutcome::Throttled || outcome == MachineOutcome::Unknown)
         return; // It is sent again.
     bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
