Ask for placement advice and pace tasks that fill

Cause: two parts of the users' contract had no process behind them. A queue may let only the runners start a step that the advice service names; its jobs would never have started. Tasks that fill a runner disturb those that serve, and nothing slowed them down.

The leader asks for the steps of such queues ahead of need, a few calls at a time, keeps the tickets while they are valid, and starts only on approved runners. Fillers are halved near a serving task's limit, stopped beyond it, and sped up by twentieths.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -2,6 +2,8 @@
 /// The leader's control of jobs and runners.
 #pragma once
 
+#include "celeryline/jobs/AdviceBook.h"
+#include "celeryline/jobs/FillerPace.h"
 #include "celeryline/jobs/JobStore.h"
 #include "celeryline/jobs/RunnerTable.h"
 #include "celeryline/jobs/StartPlan.h"
@@ -78,6 +80,10 @@
     JobMaster(const JobMasterOptions& options, const JobStore& store, CommandLog& log,
         std::function<Moment()> clock);
 
+    /// Sets the service that says which runners may run a step.
+    /// @param advisor must outlive this object.
+    void setAdvisor(PlacementAdvisor& advisor) { m_advisor = &advisor; }
+
     /// Begins a term of leadership.
     void startTerm();
 
@@ -133,12 +139,16 @@
     Resources reservedOn(const RunnerLife& life) const;
     void answerAfterPlan(const std::shared_ptr<PendingReport>& pending);
     void answer(const PendingReport& pending);
-    RunnerOrders ordersFor(const PendingReport& pending) const;
+    RunnerOrders ordersFor(const PendingReport& pending);
     void addStarts(const RunnerReport& report, RunnerOrders& orders) const;
     void addStops(const RunnerReport& report, RunnerOrders& orders) const;
     bool mustRun(const RunName& run, const RunnerLife& life) const;
     bool isAtWork(const TaskName& task, const TaskState& state) const;
     bool mayRecall(const RunName& run) const;
+    void askForAdvice(const std::vector<RunnerRoom>& rooms);
+    void askFor(const TaskName& step, const std::string& service, const std::vector<RunnerRoom>& rooms);
+    void paceFillers(const RunnerReport& report, RunnerOrders& orders);
+    ServingTail tailOf(const RunnerReport& report) const;
     void endLostRuns();
     void openDueOccurrences();
     void forgetOldJobs();
@@ -153,6 +163,9 @@
     std::vector<std::shared_ptr<PendingReport>> m_waiting; ///< Reports that wait for the plan.
     std::set<std::string> m_reserved; ///< Runners that get no further tasks.
     std::set<RunName> m_recalled; ///< Runs that are being stopped to start elsewhere.
+    PlacementAdvisor* m_advisor = nullptr; ///< Null if there is no such service.
+    AdviceBook m_advice;
+    std::size_t m_asking = 0; ///< Calls to the advisor that have no answer yet.
     Millis m_nextHousekeeping;
     bool m_isHousekeeping = false; ///< Its commands are proposed and not committed yet.
 };
--- a/include/celeryline/jobs/RunnerReport.h
+++ b/include/celeryline/jobs/RunnerReport.h
@@ -47,6 +47,7 @@
     RunName run;
     std::string payload;
     std::string checkpoint;
+    std::string ticket; ///< From the advice service; empty where none is needed.
 };
 
 /// Orders a runner to let a run work at a part of its speed.
--- a/include/celeryline/jobs/RunnerTable.h
+++ b/include/celeryline/jobs/RunnerTable.h
@@ -16,6 +16,7 @@
     Millis leaseEnd; ///< From then on nothing of what it held can run, unless a report comes before.
     std::uint64_t acknowledgedEnds = 0;
     bool hasLeft = false;
+    std::int64_t fillerPace = 100; ///< Part of their speed that filling tasks have there, in percent.
 };
 
 /// What the leader knows of the runners; rebuilt from their reports by each new leader.
@@ -46,6 +47,7 @@
 
     /// @return the runner, if this is its newest known life.
     const RunnerState* find(const RunnerLife& life) const;
+    RunnerState* find(const RunnerLife& life);
 
     const std::map<std::string, RunnerState>& runners() const { return m_runners; }
 
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/jobs/JobStore.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -52,15 +53,20 @@
 bool hasRoomFor(
     std::vector<RunnerRoom> rooms, const StepSpec& spec, const StepState& step, const std::string& service);
 
+/// Says whether a runner may run a step of a queue that needs advice.
+using AdviceCheck = std::function<bool(const TaskName& step, const std::string& runner)>;
+
 /// Chooses starts for tasks whose turn has come. Tasks of a job are placed in the order of rankJobs(), each
 /// on the runner where it fits closest, so that large gaps stay for large tasks. The members of a gang start
 /// all together or not at all.
 /// @param store jobs and configuration.
 /// @param rooms room on each runner that takes new tasks.
 /// @param wallNow wall time.
+/// @param isAdvised asked for steps of queues that need advice; without it they don't start.
 /// @return the starts.
 ///
 /// Example: `for (const auto& start : planStarts(store, rooms, wallNow)) { propose(start); }`
-std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow);
+std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow,
+    const AdviceCheck& isAdvised = nullptr);
 
 } // namespace celeryline
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -8,6 +8,10 @@
 namespace celeryline {
 namespace {
 
+constexpr std::int64_t fullPace = 100;
+/// The service handles one call at a time and refuses more than some dozens that wait.
+constexpr std::size_t mostAdviceCalls = 4;
+
 const char* endName(RunEnd how)
 {
     switch (how) {
@@ -146,6 +150,8 @@
     m_mustPlan = true;
     m_reserved.clear();
     m_recalled.clear();
+    m_advice.clear();
+    m_asking = 0;
 }
 
 void JobMaster::tick()
@@ -159,6 +165,7 @@
         return;
     m_nextHousekeeping = now + m_options.housekeeping;
     m_runners.forgetSilent(now);
+    m_advice.forgetOld(now);
     endLostRuns();
     openDueOccurrences();
     forgetOldJobs();
@@ -304,7 +311,13 @@
     if (m_isPlanning || !m_log.isLeading())
         return;
     m_mustPlan = false;
-    auto starts = planStarts(m_store, rooms(), m_clock().wall);
+    auto free = rooms();
+    askForAdvice(free);
+    auto now = m_clock();
+    auto starts
+        = planStarts(m_store, free, now.wall, [this, now](const TaskName& step, const std::string& runner) {
+              return m_advice.ticket(step, runner, now.steady) != nullptr;
+          });
     if (starts.empty())
         return;
     m_isPlanning = true;
@@ -343,7 +356,81 @@
     pending.done(ordersFor(pending));
 }
 
-RunnerOrders JobMaster::ordersFor(const PendingReport& pending) const
+void JobMaster::askForAdvice(const std::vector<RunnerRoom>& rooms)
+{
+    if (m_advisor == nullptr)
+        return;
+    for (const auto& id : m_store.openJobs()) {
+        const auto& job = *m_store.findJob(id);
+        const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
+        if (queue == nullptr || !queue->needsAdvice)
+            continue;
+        for (const auto& [occurrence, steps] : job.occurrences) {
+            for (std::size_t i = 0; i < steps.size(); ++i) {
+                // The next steps are asked for ahead of need, while their predecessors run.
+                if (steps[i].done + steps[i].active < steps[i].tasks.size())
+                    askFor({ id, occurrence, static_cast<std::uint32_t>(i), 0 }, queue->service, rooms);
+            }
+        }
+    }
+}
+
+void JobMaster::askFor(const TaskName& step, const std::string& service, const std::vector<RunnerRoom>& rooms)
+{
+    auto now = m_clock().steady;
+    if (m_asking >= mostAdviceCalls || !m_advice.mustAsk(step, now))
+        return;
+    std::vector<std::string> runners;
+    for (const auto& room : rooms) {
+        if (room.service == service && runners.size() < PlacementAdvisor::mostRunners)
+            runners.push_back(room.life.runner);
+    }
+    if (runners.empty())
+        return;
+    m_advice.noteAsked(step, now);
+    ++m_asking;
+    m_advisor->ask(
+        step, runners, [this, step, now, term = m_log.term()](std::optional<PlacementAdvice> advice) {
+            if (term != m_log.term())
+                return;
+            --m_asking;
+            m_advice.note(step, advice, now, m_clock().steady);
+            m_mustPlan = true;
+        });
+}
+
+ServingTail JobMaster::tailOf(const RunnerReport& report) const
+{
+    ServingTail tail;
+    for (const auto& reported : report.running) {
+        const auto* step = m_store.findStep(reported.run.task);
+        if (step == nullptr || step->targetLatency == Millis {})
+            continue;
+        tail.isKnown = true;
+        tail.worstShare = std::max(tail.worstShare,
+            static_cast<double>(reported.figure) / static_cast<double>(step->targetLatency.count));
+    }
+    return tail;
+}
+
+void JobMaster::paceFillers(const RunnerReport& report, RunnerOrders& orders)
+{
+    auto* state = m_runners.find(report.life);
+    if (state == nullptr)
+        return;
+    auto before = state->fillerPace;
+    state->fillerPace = nextFillerPace(before, tailOf(report));
+    // A task starts at full speed, so the order is repeated while it is slower.
+    if (state->fillerPace == fullPace && before == fullPace)
+        return;
+    for (const auto& reported : report.running) {
+        const auto* step = m_store.findStep(reported.run.task);
+        if (step != nullptr && step->fills)
+            orders.rates.push_back({ reported.run, state->fillerPace });
+    }
+}
+
+RunnerOrders JobMaster::ordersFor(const PendingReport& pending)
 {
     RunnerOrders orders;
     const auto* state = m_runners.find(pending.report.life);
@@ -354,6 +441,7 @@
     orders.acknowledgedEnds = pending.lastEnd;
     addStarts(pending.report, orders);
     addStops(pending.report, orders);
+    paceFillers(pending.report, orders);
     auto reserved = reservedOn(pending.report.life);
     bool hasRoom = !pending.report.isDraining && reserved.cpuMilli < pending.report.capacity.cpuMilli;
     orders.nextReport = hasRoom ? m_options.reportWithRoom : m_options.reportWhenFull;
@@ -370,7 +458,9 @@
         if (isListed(report, run) || !mustRun(run, report.life))
             continue;
         const auto* task = m_store.findTask(run.task);
-        orders.starts.push_back({ run, m_store.findJob(run.task.job)->spec.payload, task->checkpoint });
+        const auto* ticket = m_advice.ticket(run.task, report.life.runner, m_clock().steady);
+        orders.starts.push_back({ run, m_store.findJob(run.task.job)->spec.payload, task->checkpoint,
+            ticket == nullptr ? std::string() : *ticket });
     }
 }
 
--- a/src/jobs/RunnerTable.cpp
+++ b/src/jobs/RunnerTable.cpp
@@ -70,6 +70,11 @@
     return found == m_runners.end() || found->second.report.life != life ? nullptr : &found->second;
 }
 
+RunnerState* RunnerTable::find(const RunnerLife& life)
+{
+    return const_cast<RunnerState*>(static_cast<const RunnerTable*>(this)->find(life));
+}
+
 void RunnerTable::forgetSilent(Millis now)
 {
     for (auto it = m_runners.begin(); it != m_runners.end();) {
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -52,9 +52,10 @@
 /// Places the tasks of one step after the other.
 class Planner {
 public:
-    Planner(const JobStore& store, std::vector<RunnerRoom> rooms)
+    Planner(const JobStore& store, std::vector<RunnerRoom> rooms, const AdviceCheck& isAdvised)
         : m_store(store)
         , m_rooms(std::move(rooms))
+        , m_isAdvised(isAdvised)
     {
         for (auto& room : m_rooms)
             m_pools[room.service].push_back(&room);
@@ -66,8 +67,9 @@
         if (queue == nullptr)
             return;
         auto pool = m_pools.find(queue->service);
-        if (pool == m_pools.end())
+        if (pool == m_pools.end() || (queue->needsAdvice && !m_isAdvised))
             return;
+        m_needsAdvice = queue->needsAdvice;
         for (const auto& [occurrence, steps] : job.occurrences) {
             for (std::size_t i = 0; i < steps.size(); ++i) {
                 bool hasWaiting = steps[i].done + steps[i].active < steps[i].tasks.size();
@@ -99,7 +101,7 @@
             const auto& task = step.tasks[name.index];
             if (task.isDone || !task.runs.empty())
                 continue;
-            auto* room = chooseRoom(spec, pool, onRunner);
+            auto* room = chooseRoom(spec, name, pool, onRunner);
             if (room != nullptr) {
                 reserve(*room, reservedBy(spec));
                 room->lasting += spec.isLongRunning ? 1 : 0;
@@ -117,8 +119,8 @@
         }
     }
 
-    RunnerRoom* chooseRoom(
-        const StepSpec& spec, const Pool& pool, const std::map<std::string, std::uint32_t>& onRunner) const
+    RunnerRoom* chooseRoom(const StepSpec& spec, const TaskName& name, const Pool& pool,
+        const std::map<std::string, std::uint32_t>& onRunner) const
     {
         RunnerRoom* best = nullptr;
         auto bestKey = std::make_tuple(true, std::int64_t(0), std::int64_t(0));
@@ -127,6 +129,8 @@
             std::int64_t here = found == onRunner.end() ? 0 : found->second;
             if (!isAllowed(spec, *room, here))
                 continue;
+            if (m_needsAdvice && !m_isAdvised(name, room->life.runner))
+                continue;
             bool isFar = !spec.dataRack.empty() && !hasLabel(*room, spec.dataRack);
             // What lasts is gathered on few runners, so that the machines of the others can change their
             // pool.
@@ -142,6 +146,8 @@
 
     const JobStore& m_store;
     std::vector<RunnerRoom> m_rooms;
+    const AdviceCheck& m_isAdvised;
+    bool m_needsAdvice = false; ///< Of the queue whose job is being placed.
     std::map<std::string, Pool> m_pools;
     std::vector<StartRun> m_starts;
 };
@@ -205,9 +211,10 @@
     });
 }
 
-std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow)
+std::vector<StartRun> planStarts(
+    const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow, const AdviceCheck& isAdvised)
 {
-    Planner planner(store, std::move(rooms));
+    Planner planner(store, std::move(rooms), isAdvised);
     for (const auto& rank : rankJobs(store, wallNow))
         planner.placeJob(*store.findJob(rank.job));
     return planner.takeStarts();
--- a/test/platform/WireCodecTest.cpp
+++ b/test/platform/WireCodecTest.cpp
@@ -140,7 +140,7 @@
     orders.hold = { 4000 };
     orders.fence = 7;
     orders.acknowledgedEnds = 58;
-    orders.starts.push_back({ { { "5c0e7a21d94b36f8", 0, 1, 18 }, 1 }, "text", "" });
+    orders.starts.push_back({ { { "5c0e7a21d94b36f8", 0, 1, 18 }, 1 }, "text", "", "" });
     orders.stops.push_back({ { "5c0e7a21d94b36f8", 0, 1, 17 }, 2 });
     auto text = encodeOrders(orders, "");
     REQUIRE(text.find(R"("start":[["5c0e7a21d94b36f8.0.1.18",1,"text",""]])") != std::string::npos);
@@ -171,6 +171,16 @@
     REQUIRE(decodeMachines(R"({"machines":[],"next_token":null})", machines).empty());
 }
 
+TEST_CASE("Advice is asked for and read", "[platform]")
+{
+    REQUIRE(encodeAdviceRequest({ "5c0e7a21d94b36f8", 0, 1, 7 }, { "i-1", "i-2" })
+        == R"({"step":"5c0e7a21d94b36f8.0.1","workers":["i-1","i-2"]})");
+    auto advice = decodeAdvice(R"({"approved":[["i-1","c81e-7a21d94b"]],"valid_ms":3000})");
+    REQUIRE(advice.tickets.at("i-1") == "c81e-7a21d94b");
+    REQUIRE(advice.validFor == Millis { 3000 });
+    REQUIRE_THROWS_AS(decodeAdvice(R"({"approved":[["i-1"]],"valid_ms":3000})"), Error);
+}
+
 TEST_CASE("A job's id has 16 hexadecimal digits", "[platform]")
 {
     REQUIRE(isJobId("5c0e7a21d94b36f8"));
