--- a/include/celeryline/cli/Subcommand.h
+++ b/include/celeryline/cli/Subcommand.h
@@ -10,7 +10,7 @@
 
 namespace celeryline {
 
-/// Exit codes of the binary; documented in docs/operations.md.
+/// Exit codes of the binary; documented in docs/OPERATIONS.md.
 enum class ExitCode : int {
     Done = 0,
     Internal = 1,
--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -57,14 +57,17 @@
     std::string nextTarget();
 
     /// @param request the request.
-    /// @param timeout time for all tries together.
+    /// @param timeout time for all tries together, while no try has reached a leader.
+    /// @param timeoutOnceSent time for all tries together, once a try may have been carried out: the next
+    /// leader can still tell what became of it.
     /// @return the leader's answer; without one, an outcome that tells whether it may have been carried out.
-    kj::Promise<ForwardedResponse> forward(ForwardedRequest request, Millis timeout);
+    kj::Promise<ForwardedResponse> forward(ForwardedRequest request, Millis timeout, Millis timeoutOnceSent);
 
 private:
     struct Attempt {
         ForwardedRequest request;
         kj::TimePoint deadline = kj::origin<kj::TimePoint>();
+        kj::TimePoint deadlineOnceSent = kj::origin<kj::TimePoint>();
         bool mayHaveRun = false;
     };
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -60,14 +60,14 @@
 kj::Promise<ForwardedResponse> ControlNode::request(ForwardedRequest request, Millis timeout)
 {
     if (!isLeading())
-        return m_client.forward(std::move(request), timeout);
+        return m_client.forward(std::move(request), timeout, timeout);
     auto answered = m_handler->handle(request);
     return answered.then([this, request = std::move(request), timeout](
                              ForwardedResponse&& response) mutable -> kj::Promise<ForwardedResponse> {
         if (response.outcome == ForwardOutcome::Answered)
             return kj::mv(response);
         // All requests are idempotent, so the next leader can be asked again.
-        return m_client.forward(std::move(request), timeout);
+        return m_client.forward(std::move(request), timeout, timeout);
     });
 }
 
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -42,11 +42,14 @@
     return m_addresses[m_next++ % m_addresses.size()];
 }
 
-kj::Promise<ForwardedResponse> LeaderClient::forward(ForwardedRequest request, Millis timeout)
+kj::Promise<ForwardedResponse> LeaderClient::forward(
+    ForwardedRequest request, Millis timeout, Millis timeoutOnceSent)
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->request = std::move(request);
-    attempt->deadline = m_links.timer().now() + timeout.count * kj::MILLISECONDS;
+    auto now = m_links.timer().now();
+    attempt->deadline = now + timeout.count * kj::MILLISECONDS;
+    attempt->deadlineOnceSent = now + std::max(timeout, timeoutOnceSent).count * kj::MILLISECONDS;
     return tryOnce(std::move(attempt));
 }
 
@@ -69,6 +72,8 @@
             bool isUnknown = call.hasResult ? call.result.outcome == ForwardOutcome::Unknown
                                             : call.failure == CallFailure::Unknown;
             attempt->mayHaveRun = attempt->mayHaveRun || isUnknown;
+            if (attempt->mayHaveRun)
+                attempt->deadline = attempt->deadlineOnceSent;
             // Another request may have found the leader meanwhile.
             if (call.hasResult && !call.result.leader.empty() && call.result.leader != target) {
                 m_leader = call.result.leader;
