Connect again sooner after a power loss, and keep the first consensus messages

An opening packet to a machine that is not up yet is dropped, each try took 0.7 s plus a pause of 0.2 s, and vote requests were dropped while the connection was being opened, so that another election timeout passed.

A try takes 0.3 s and the pause 0.1 s; up to 16 consensus messages wait for the connection.

--- a/include/celeryline/rpc/ControlLink.h
+++ b/include/celeryline/rpc/ControlLink.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace celeryline {
 
@@ -57,6 +58,7 @@
     kj::Promise<void> connected();
     void open();
     void onConnected(kj::Own<kj::AsyncIoStream>&& stream);
+    void holdRaft(RaftMessage message);
     void scheduleDrop(const std::string& reason);
     template <typename Result, typename Call>
     kj::Promise<CallResult<Result>> call(Millis timeout, Call&& start);
@@ -71,6 +73,7 @@
     bool m_isFailureLogged = false;
     kj::TimePoint m_retryAt;
     std::size_t m_raftInFlight = 0;
+    std::vector<RaftMessage> m_heldRaft; ///< Wait for the connection.
     kj::TaskSet m_tasks;
 };
 
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -8,11 +8,16 @@
 #include <Poco/Net/SocketAddress.h>
 #include <capnp/rpc-twoparty.h>
 
+#include <utility>
+
 namespace celeryline {
 namespace {
 
-constexpr kj::Duration connectTimeout = 700 * kj::MILLISECONDS;
-constexpr kj::Duration connectPause = 200 * kj::MILLISECONDS;
+/// A machine that starts drops the opening packet, and the kernel repeats it only after a second.
+constexpr kj::Duration connectTimeout = 300 * kj::MILLISECONDS;
+constexpr kj::Duration connectPause = 100 * kj::MILLISECONDS;
+/// Consensus messages that wait for a connection; an election needs the first ones.
+constexpr std::size_t maxHeldRaft = 16;
 /// A consensus message without confirmation for so long shows a silent connection.
 constexpr kj::Duration raftTimeout = 1 * kj::SECONDS;
 /// Consensus repeats what is lost, so a slow receiver must not make messages pile up.
@@ -173,10 +178,25 @@
     });
 }
 
+void ControlLink::holdRaft(RaftMessage message)
+{
+    if (m_heldRaft.empty()) {
+        m_tasks.add(connected().then(
+            [this] {
+                auto held = std::exchange(m_heldRaft, {});
+                for (auto& each : held)
+                    sendRaft(std::move(each));
+            },
+            [this](kj::Exception&&) { m_heldRaft.clear(); }));
+    }
+    if (m_heldRaft.size() < maxHeldRaft)
+        m_heldRaft.push_back(std::move(message));
+}
+
 void ControlLink::sendRaft(RaftMessage message)
 {
     if (!m_connection || m_isDropScheduled) {
-        m_tasks.add(connected().then([] {}, [](kj::Exception&&) {}));
+        holdRaft(std::move(message));
         return;
     }
     if (m_raftInFlight >= maxRaftInFlight)
