Count machines that the earlier leader took down for upkeep as down

Ruled out: repeated orders, which change nothing. They now count as down while their last order is recent; the test fails on the earlier code.

--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -293,8 +293,11 @@
             situation.away += task->second.wave == wave.order.wave ? 1 : 0;
             continue;
         }
-        if (wave.done.count(name) != 0)
+        if (wave.done.count(name) != 0) {
+            // An earlier leader took it down a moment ago; it may not be back.
+            situation.away += isQuiet(name) ? 1 : 0;
             continue;
+        }
         auto known = m_machines.find(name);
         if (known == m_machines.end())
             noteAbsent(wave.order.wave, name);
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -201,6 +201,25 @@
     REQUIRE(kit.provider.orders.size() == 1);
 }
 
+// Guards against a new leader that counts a machine as back which its predecessor took down a moment ago
+// (LIMIT, Consorzio hunt-02e6-3).
+TEST_CASE("Machines that the earlier leader took down count as down", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m1", "pool", "r1");
+    kit.addMachine("m2", "pool", "r2");
+    kit.pass(10000);
+    kit.store.apply(StartWave { 5, { "m1", "m2" }, { 20000 }, 1, kit.moment.wall }, {});
+    kit.store.apply(NoteUpkeep { 5, "m1", true }, {});
+    kit.machines.noteCommitted(NoteUpkeep { 5, "m1", false });
+    kit.machines.startTerm();
+    kit.pass(3300);
+    REQUIRE(kit.provider.orders.empty());
+    kit.pass(1000);
+    REQUIRE(kit.provider.orders.size() == 1);
+    REQUIRE(kit.provider.orders[0].machine == "m2");
+}
+
 // Guards against a new leader that forgets an upkeep which its predecessor may have ordered.
 TEST_CASE("A new leader repeats an upkeep that was begun", "[machines]")
 {
