Split the large files of the job and machine control and of the adapter's codec

Log lines, what runners hold, orders for single machines, and messages about machines now have files of their own; checked fields that two codecs need stand once. The linter also covers platform/, and its findings there and in the new modules are mended.

--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -71,8 +71,8 @@
         bool mayHaveRun = false;
     };
 
-    kj::Promise<ForwardedResponse> tryOnce(std::shared_ptr<Attempt> attempt);
-    kj::Promise<ForwardedResponse> tryAgain(std::shared_ptr<Attempt> attempt);
+    kj::Promise<ForwardedResponse> tryOnce(const std::shared_ptr<Attempt>& attempt);
+    kj::Promise<ForwardedResponse> tryAgain(const std::shared_ptr<Attempt>& attempt);
 
     ControlLinks& m_links;
     std::vector<std::string> m_addresses;
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -50,10 +50,10 @@
     auto now = m_links.timer().now();
     attempt->deadline = now + timeout.count * kj::MILLISECONDS;
     attempt->deadlineOnceSent = now + std::max(timeout, timeoutOnceSent).count * kj::MILLISECONDS;
-    return tryOnce(std::move(attempt));
+    return tryOnce(attempt);
 }
 
-kj::Promise<ForwardedResponse> LeaderClient::tryOnce(std::shared_ptr<Attempt> attempt)
+kj::Promise<ForwardedResponse> LeaderClient::tryOnce(const std::shared_ptr<Attempt>& attempt)
 {
     Millis left { (attempt->deadline - m_links.timer().now()) / kj::MILLISECONDS };
     auto target = nextTarget();
@@ -84,7 +84,7 @@
         });
 }
 
-kj::Promise<ForwardedResponse> LeaderClient::tryAgain(std::shared_ptr<Attempt> attempt)
+kj::Promise<ForwardedResponse> LeaderClient::tryAgain(const std::shared_ptr<Attempt>& attempt)
 {
     return m_links.timer().afterDelay(retryPause).then([this, attempt] { return tryOnce(attempt); });
 }
--- a/src/jobs/JobCommand.cpp
+++ b/src/jobs/JobCommand.cpp
@@ -28,9 +28,10 @@
         throw Error(ErrorKind::Corrupt, std::string("a job command can't be read: ") + e.what(),
             "run the same version on all instances");
     }
-    if (stream.peek() != std::istringstream::traits_type::eof())
+    if (stream.peek() != std::istringstream::traits_type::eof()) {
         throw Error(ErrorKind::Corrupt, "a job command has bytes behind its end",
             "run the same version on all instances");
+    }
     return command;
 }
 
--- /dev/null
+++ b/src/jobs/JobEvents.cpp
@@ -0,0 +1,117 @@
+#include "celeryline/jobs/JobEvents.h"
+
+#include <set>
+
+namespace celeryline {
+namespace {
+
+const char* endName(RunEnd how)
+{
+    switch (how) {
+    case RunEnd::Done:
+        return "done";
+    case RunEnd::Failed:
+        return "failed";
+    case RunEnd::Stopped:
+        return "stopped";
+    case RunEnd::Lapsed:
+        return "lapsed";
+    case RunEnd::Broken:
+        return "broken";
+    case RunEnd::Alone:
+        return "alone";
+    case RunEnd::Refused:
+        return "refused";
+    case RunEnd::Lost:
+        return "lost";
+    }
+    return "";
+}
+
+const char* phaseName(JobPhase phase)
+{
+    switch (phase) {
+    case JobPhase::Open:
+        return "open";
+    case JobPhase::Completed:
+        return "completed";
+    case JobPhase::Failed:
+        return "failed";
+    case JobPhase::Cancelled:
+        return "cancelled";
+    }
+    return "";
+}
+
+} // namespace
+
+Event describeRun(const char* name, const RunName& run)
+{
+    Event event(name);
+    event.with("job", run.task.job)
+        .with("occurrence", run.task.occurrence)
+        .with("step", run.task.step)
+        .with("index", run.task.index)
+        .with("run", run.run);
+    return event;
+}
+
+Event describeCommand(const JobCommand& command)
+{
+    if (const auto* submit = std::get_if<SubmitJob>(&command)) {
+        Event event("job-submitted");
+        event.with("job", submit->job.id)
+            .with("queue", submit->job.queue)
+            .with("steps", submit->job.steps.size());
+        return event;
+    }
+    if (const auto* cancel = std::get_if<CancelJob>(&command)) {
+        Event event("job-cancelled");
+        event.with("job", cancel->job);
+        return event;
+    }
+    if (const auto* accept = std::get_if<AcceptConfiguration>(&command)) {
+        Event event("configuration");
+        event.with("version", accept->configuration.version)
+            .with("queues", accept->configuration.queues.size());
+        return event;
+    }
+    if (const auto* wave = std::get_if<StartWave>(&command)) {
+        Event event("wave");
+        event.with("wave", wave->wave)
+            .with("machines", wave->machines.size())
+            .with("atOnce", wave->maxAtOnce)
+            .with("deadlineMs", wave->deadline);
+        return event;
+    }
+    return Event("request");
+}
+
+void logEnds(const JobStore& store, const std::vector<JobCommand>& commands, const std::string& runner)
+{
+    std::set<std::string> jobs;
+    for (const auto& command : commands) {
+        const auto* end = std::get_if<EndRun>(&command);
+        if (end == nullptr)
+            continue;
+        jobs.insert(end->run.task.job);
+        describeRun("end", end->run)
+            .with("how", endName(end->how))
+            .with("runner", runner)
+            .write(EventKind::Task);
+    }
+    for (const auto& id : jobs) {
+        const auto* job = store.findJob(id);
+        // Once nothing of an ended job runs any more, its tasks are dropped.
+        if (job == nullptr || job->phase == JobPhase::Open || !job->occurrences.empty())
+            continue;
+        Event("job-ended")
+            .with("job", id)
+            .with("queue", job->spec.queue)
+            .with("phase", phaseName(job->phase))
+            .with("ageMs", job->endedAt - job->submittedAt)
+            .write();
+    }
+}
+
+} // namespace celeryline
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -1,128 +1,13 @@
 #include "celeryline/jobs/JobMaster.h"
 
+#include "celeryline/jobs/JobEvents.h"
 #include "celeryline/jobs/StartPlan.h"
-#include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
 
 namespace celeryline {
 namespace {
 
-constexpr std::int64_t fullPace = 100;
-/// The service handles one call at a time and refuses more than some dozens that wait.
-constexpr std::size_t mostAdviceCalls = 4;
-
-const char* endName(RunEnd how)
-{
-    switch (how) {
-    case RunEnd::Done:
-        return "done";
-    case RunEnd::Failed:
-        return "failed";
-    case RunEnd::Stopped:
-        return "stopped";
-    case RunEnd::Lapsed:
-        return "lapsed";
-    case RunEnd::Broken:
-        return "broken";
-    case RunEnd::Alone:
-        return "alone";
-    case RunEnd::Refused:
-        return "refused";
-    case RunEnd::Lost:
-        return "lost";
-    }
-    return "";
-}
-
-Event describeRun(const char* name, const RunName& run)
-{
-    Event event(name);
-    event.with("job", run.task.job)
-        .with("occurrence", run.task.occurrence)
-        .with("step", run.task.step)
-        .with("index", run.task.index)
-        .with("run", run.run);
-    return event;
-}
-
-/// Describes a caller's or operator's request.
-Event describeCommand(const JobCommand& command)
-{
-    if (const auto* submit = std::get_if<SubmitJob>(&command)) {
-        Event event("job-submitted");
-        event.with("job", submit->job.id)
-            .with("queue", submit->job.queue)
-            .with("steps", submit->job.steps.size());
-        return event;
-    }
-    if (const auto* cancel = std::get_if<CancelJob>(&command)) {
-        Event event("job-cancelled");
-        event.with("job", cancel->job);
-        return event;
-    }
-    if (const auto* accept = std::get_if<AcceptConfiguration>(&command)) {
-        Event event("configuration");
-        event.with("version", accept->configuration.version)
-            .with("queues", accept->configuration.queues.size());
-        return event;
-    }
-    if (const auto* wave = std::get_if<StartWave>(&command)) {
-        Event event("wave");
-        event.with("wave", wave->wave)
-            .with("machines", wave->machines.size())
-            .with("atOnce", wave->maxAtOnce)
-            .with("deadlineMs", wave->deadline);
-        return event;
-    }
-    return Event("request");
-}
-
-const char* phaseName(JobPhase phase)
-{
-    switch (phase) {
-    case JobPhase::Open:
-        return "open";
-    case JobPhase::Completed:
-        return "completed";
-    case JobPhase::Failed:
-        return "failed";
-    case JobPhase::Cancelled:
-        return "cancelled";
-    }
-    return "";
-}
-
-/// Logs runs that ended, and the jobs that ended with them.
-/// @param commands committed commands.
-/// @param runner runner that reported the ends; empty if its lease lapsed.
-void logEnds(const JobStore& store, const std::vector<JobCommand>& commands, const std::string& runner)
-{
-    std::set<std::string> jobs;
-    for (const auto& command : commands) {
-        const auto* end = std::get_if<EndRun>(&command);
-        if (end == nullptr)
-            continue;
-        jobs.insert(end->run.task.job);
-        describeRun("end", end->run)
-            .with("how", endName(end->how))
-            .with("runner", runner)
-            .write(EventKind::Task);
-    }
-    for (const auto& id : jobs) {
-        const auto* job = store.findJob(id);
-        // Once nothing of an ended job runs any more, its tasks are dropped.
-        if (job == nullptr || job->phase == JobPhase::Open || !job->occurrences.empty())
-            continue;
-        Event("job-ended")
-            .with("job", id)
-            .with("queue", job->spec.queue)
-            .with("phase", phaseName(job->phase))
-            .with("ageMs", job->endedAt - job->submittedAt)
-            .write();
-    }
-}
-
 bool isListed(const RunnerReport& report, const RunName& run)
 {
     auto isSame = [&](const auto& listed) { return listed.run == run; };
@@ -198,7 +83,7 @@
     }
     bool isNew = m_runners.find(report.life) == nullptr;
     const auto* state = m_runners.accept(report, m_clock().steady);
-    if (state != nullptr && isNew)
+    if (state != nullptr && isNew) {
         Event("runner-found")
             .with("runner", report.life.runner)
             .with("born", report.life.born)
@@ -206,6 +91,7 @@
             .with("dataCentre", report.dataCentre)
             .with("isDraining", report.isDraining)
             .write();
+    }
     if (state == nullptr) {
         done(RunnerOrders {}); // A late report of an earlier moment gets no lease and no orders.
         return;
@@ -323,11 +209,12 @@
     m_isPlanning = true;
     m_log.propose({ starts.begin(), starts.end() }, [this, starts](bool isCommitted) {
         m_isPlanning = false;
-        for (const auto& start : starts)
+        for (const auto& start : starts) {
             describeRun("start", start.run)
                 .with("runner", start.life.runner)
                 .with("outcome", isCommitted ? "committed" : "unknown")
                 .write(EventKind::Task);
+        }
         auto waiting = std::move(m_waiting);
         m_waiting.clear();
         for (const auto& pending : waiting)
@@ -356,80 +243,6 @@
     pending.done(ordersFor(pending));
 }
 
-void JobMaster::askForAdvice(const std::vector<RunnerRoom>& rooms)
-{
-    if (m_advisor == nullptr)
-        return;
-    for (const auto& id : m_store.openJobs()) {
-        const auto& job = *m_store.findJob(id);
-        const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
-        if (queue == nullptr || !queue->needsAdvice)
-            continue;
-        for (const auto& [occurrence, steps] : job.occurrences) {
-            for (std::size_t i = 0; i < steps.size(); ++i) {
-                // The next steps are asked for ahead of need, while their predecessors run.
-                if (steps[i].done + steps[i].active < steps[i].tasks.size())
-                    askFor({ id, occurrence, static_cast<std::uint32_t>(i), 0 }, queue->service, rooms);
-            }
-        }
-    }
-}
-
-void JobMaster::askFor(const TaskName& step, const std::string& service, const std::vector<RunnerRoom>& rooms)
-{
-    auto now = m_clock().steady;
-    if (m_asking >= mostAdviceCalls || !m_advice.mustAsk(step, now))
-        return;
-    std::vector<std::string> runners;
-    for (const auto& room : rooms) {
-        if (room.service == service && runners.size() < PlacementAdvisor::mostRunners)
-            runners.push_back(room.life.runner);
-    }
-    if (runners.empty())
-        return;
-    m_advice.noteAsked(step, now);
-    ++m_asking;
-    m_advisor->ask(
-        step, runners, [this, step, now, term = m_log.term()](std::optional<PlacementAdvice> advice) {
-            if (term != m_log.term())
-                return;
-            --m_asking;
-            m_advice.note(step, advice, now, m_clock().steady);
-            m_mustPlan = true;
-        });
-}
-
-ServingTail JobMaster::tailOf(const RunnerReport& report) const
-{
-    ServingTail tail;
-    for (const auto& reported : report.running) {
-        const auto* step = m_store.findStep(reported.run.task);
-        if (step == nullptr || step->targetLatency == Millis {})
-            continue;
-        tail.isKnown = true;
-        tail.worstShare = std::max(tail.worstShare,
-            static_cast<double>(reported.figure) / static_cast<double>(step->targetLatency.count));
-    }
-    return tail;
-}
-
-void JobMaster::paceFillers(const RunnerReport& report, RunnerOrders& orders)
-{
-    auto* state = m_runners.find(report.life);
-    if (state == nullptr)
-        return;
-    auto before = state->fillerPace;
-    state->fillerPace = nextFillerPace(before, tailOf(report));
-    // A task starts at full speed, so the order is repeated while it is slower.
-    if (state->fillerPace == fullPace && before == fullPace)
-        return;
-    for (const auto& reported : report.running) {
-        const auto* step = m_store.findStep(reported.run.task);
-        if (step != nullptr && step->fills)
-            orders.rates.push_back({ reported.run, state->fillerPace });
-    }
-}
-
 RunnerOrders JobMaster::ordersFor(const PendingReport& pending)
 {
     RunnerOrders orders;
@@ -482,72 +295,6 @@
         [&](const TaskRun& known) { return known.number == run.run && known.life == life; });
 }
 
-RunnerUse JobMaster::useOf(const std::string& runner) const
-{
-    RunnerUse use;
-    use.isEmpty = !m_isPlanning;
-    for (auto it = m_store.runs().lower_bound({ runner, {} });
-         it != m_store.runs().end() && it->first.runner == runner; ++it) {
-        use.isEmpty = false;
-        auto reserved = reservedOn(it->first);
-        use.reserved.cpuMilli += reserved.cpuMilli;
-        use.reserved.memoryMb += reserved.memoryMb;
-        use.reserved.accelerators += reserved.accelerators;
-        for (const auto& run : it->second) {
-            const auto* step = m_store.findStep(run.task);
-            if (step != nullptr && step->isLongRunning)
-                use.lasting.push_back(run);
-        }
-    }
-    return use;
-}
-
-bool JobMaster::isAtWork(const TaskName& task, const TaskState& state) const
-{
-    constexpr std::int64_t atWork = 100;
-    for (const auto& run : state.runs) {
-        RunName name { task, run.number };
-        const auto* runner = m_runners.find(run.life);
-        if (runner == nullptr || m_recalled.count(name) != 0)
-            continue;
-        for (const auto& reported : runner->report.running) {
-            if (reported.run == name && reported.percent >= atWork)
-                return true;
-        }
-    }
-    return false;
-}
-
-bool JobMaster::mayRecall(const RunName& run) const
-{
-    const auto* job = m_store.findJob(run.task.job);
-    const auto* spec = m_store.findStep(run.task);
-    if (job == nullptr || spec == nullptr || job->phase != JobPhase::Open || !spec->isLongRunning)
-        return false;
-    const auto& step = job->occurrences.at(run.task.occurrence)[run.task.step];
-    std::uint32_t away = 0;
-    auto other = run.task;
-    for (other.index = 0; other.index < step.tasks.size(); ++other.index) {
-        if (other.index != run.task.index && !isAtWork(other, step.tasks[other.index]))
-            ++away;
-    }
-    if (away + 1 > std::max<std::uint32_t>(1, spec->mayMiss))
-        return false;
-    const auto* queue = findQueue(m_store.configuration(), job->spec.queue);
-    return queue != nullptr && hasRoomFor(rooms(), *spec, step, queue->service);
-}
-
-bool JobMaster::recall(const RunName& run)
-{
-    if (m_recalled.count(run) != 0)
-        return true;
-    if (!m_log.isLeading() || !mayRecall(run))
-        return false;
-    m_recalled.insert(run);
-    describeRun("recall", run).write();
-    return true;
-}
-
 void JobMaster::endRunner(const std::string& runner)
 {
     m_runners.leave(runner, m_clock().steady);
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -7,33 +7,10 @@
 namespace celeryline {
 namespace {
 
-/// A machine that can't be emptied in this time stays where it is.
-constexpr Millis longestEmptying { 3000 };
 constexpr Millis balanceLogInterval { 1000 };
-/// Until an order without an answer is sent again.
-constexpr Millis orderRetry { 700 };
-/// Until the new runner has reported.
-constexpr Millis arrivalMargin { 300 };
 /// A machine that is not listed for a while can come back; after so long it can't have its upkeep any more.
 constexpr Millis goneAfter { 15000 };
 
-const char* outcomeName(MachineOutcome outcome)
-{
-    switch (outcome) {
-    case MachineOutcome::Done:
-        return "done";
-    case MachineOutcome::Busy:
-        return "busy";
-    case MachineOutcome::Refused:
-        return "refused";
-    case MachineOutcome::Throttled:
-        return "throttled";
-    case MachineOutcome::Unknown:
-        return "unknown";
-    }
-    return "";
-}
-
 /// Adds what the steps of one occurrence ask for.
 void addSteps(
     const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, bool isLate, PoolDemand& demand)
@@ -359,123 +336,4 @@
     m_jobs.setReserved(std::move(runners));
 }
 
-void MachineMaster::advanceTasks()
-{
-    std::vector<std::string> names;
-    for (const auto& [name, task] : m_tasks)
-        names.push_back(name);
-    for (const auto& name : names) {
-        auto found = m_tasks.find(name);
-        if (found != m_tasks.end())
-            advance(name, found->second);
-    }
-}
-
-void MachineMaster::advance(const std::string& machine, Task& task)
-{
-    auto now = m_clock().steady;
-    auto known = m_machines.find(machine);
-    if (known == m_machines.end())
-        return;
-    auto runner = known->second.info.runner;
-    if (task.stage == Stage::Emptying) {
-        if (!m_jobs.useOf(runner).isEmpty) {
-            if (task.wave == 0 && now >= task.since + longestEmptying) {
-                m_tasks.erase(machine);
-                publishReserved();
-            } else {
-                recallLasting(runner);
-            }
-            return;
-        }
-        if (!isQuiet(machine))
-            record(machine);
-    } else if (task.stage == Stage::Ordered && now >= task.since + orderRetry) {
-        record(machine);
-    } else if (task.stage == Stage::Away) {
-        auto needed = task.wave != 0 ? m_options.upkeepTime : m_options.moveTime;
-        if (now >= task.since + needed + arrivalMargin) {
-            m_tasks.erase(machine);
-            publishReserved();
-        }
-    }
-}
-
-void MachineMaster::recallLasting(const std::string& runner)
-{
-    for (const auto& run : m_jobs.useOf(runner).lasting)
-        m_jobs.recall(run);
-}
-
-void MachineMaster::record(const std::string& machine)
-{
-    auto& task = m_tasks[machine];
-    task.stage = Stage::Recording;
-    task.since = m_clock().steady;
-    JobCommand note = NoteMove { machine, task.pool };
-    if (task.wave != 0)
-        note = NoteUpkeep { task.wave, machine, false };
-    m_log.propose({ note }, [this, machine](bool isCommitted) {
-        auto found = m_tasks.find(machine);
-        if (isCommitted && found != m_tasks.end())
-            order(machine, found->second);
-    });
-}
-
-void MachineMaster::order(const std::string& machine, Task& task)
-{
-    // The process may have been frozen; without its lease another instance may give orders.
-    if (!m_log.isLeading())
-        return;
-    task.stage = Stage::Ordered;
-    task.since = m_clock().steady;
-    auto done = [this, machine, term = m_term](MachineOutcome outcome) {
-        if (term == m_log.term() && m_log.isLeading())
-            finishOrder(machine, outcome);
-    };
-    if (task.wave != 0) {
-        m_provider.beginUpkeep(machine, task.wave, lease(), done);
-    } else {
-        m_provider.move(machine, task.pool, lease(), done);
-    }
-}
-
-void MachineMaster::finishOrder(const std::string& machine, MachineOutcome outcome)
-{
-    auto found = m_tasks.find(machine);
-    if (found == m_tasks.end() || found->second.stage != Stage::Ordered)
-        return;
-    auto& task = found->second;
-    auto known = m_machines.find(machine);
-    Event("machine-ordered")
-        .with("machine", machine)
-        .with("wave", task.wave)
-        .with("pool", task.pool)
-        .with("fence", m_term)
-        .with("outcome", outcomeName(outcome))
-        .with("afterMs", m_clock().steady - task.since)
-        .writeAlways();
-    if (outcome == MachineOutcome::Throttled || outcome == MachineOutcome::Unknown)
-        return; // It is sent again.
-    bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
-    if (task.wave != 0 && isOver)
-        m_log.propose({ NoteUpkeep { task.wave, machine, true } }, [](bool) {});
-    if (outcome != MachineOutcome::Done) {
-        m_tasks.erase(found);
-        publishReserved();
-        return;
-    }
-    task.stage = Stage::Away;
-    task.since = m_clock().steady;
-    if (known == m_machines.end())
-        return;
-    m_jobs.endRunner(known->second.info.runner);
-    known->second.info.runner.clear(); // The next list names the new one.
-    known->second.info.state = task.wave != 0 ? MachineState::Upkeep : MachineState::Moving;
-    if (task.wave == 0) {
-        known->second.info.pool = task.pool;
-        known->second.inPoolSince = task.since;
-    }
-}
-
 } // namespace celeryline
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -87,9 +87,10 @@
                     .then([this](kj::Own<kj::AsyncIoStream>&& opened) { onConnected(kj::mv(opened)); },
                         [this](kj::Exception&& e) {
                             m_retryAt = m_timer.now() + connectPause;
-                            if (!m_isFailureLogged)
+                            if (!m_isFailureLogged) {
                                 LOG4CXX_WARN(logger("rpc"),
                                     "can't connect to " << m_address << ": " << e.getDescription().cStr());
+                            }
                             m_isFailureLogged = true; // Repeated failures say nothing new.
                             m_tasks.add(kj::evalLater([this] { m_opening = nullptr; }));
                             kj::throwFatalException(kj::mv(e));
--- a/test/JobSimulation.cpp
+++ b/test/JobSimulation.cpp
@@ -284,8 +284,9 @@
     if (below(100) < doubledPercent) {
         auto other = static_cast<int>(below(m_replicas.size()));
         auto late = 500 + static_cast<std::int64_t>(below(4000));
-        after(late,
-            [this, other, report] { deliverReport(other, report, [](std::optional<RunnerOrders>) {}); });
+        after(late, [this, other, report] {
+            deliverReport(other, report, [](const std::optional<RunnerOrders>&) {});
+        });
     }
     if (isLost() || runner.cutUntil > m_now)
         return;
@@ -488,9 +489,10 @@
     for (const auto& id : store.openJobs())
         text << "open: " << id << "\n";
     for (const auto& [life, runs] : store.runs()) {
-        for (const auto& run : runs)
+        for (const auto& run : runs) {
             text << "run: " << textOf(run.task) << " on " << life.runner << " born " << life.born.count
                  << "\n";
+        }
     }
     return text.str();
 }
