--- a/test/JobHistoryTest.cpp
+++ b/test/JobHistoryTest.cpp
@@ -99,3 +99,40 @@
         REQUIRE_NOTHROW(play(seed));
     }
 }
+
+// Guards against a lost voter that stays in the set, so that the next loss leaves no majority.
+TEST_CASE("A voter that is gone for good is replaced by a learner", "[history]")
+{
+    constexpr std::int64_t forGood = 1000000000;
+    JobSimulation world(3, 4, 2);
+    world.configure(makeConfiguration());
+    world.run(3000);
+    REQUIRE(world.voters() == std::set<std::string> { "c0", "c1", "c2" });
+    int lost = world.leader() == 0 ? 1 : 0;
+    world.kill(lost, forGood);
+    world.run(15000);
+    REQUIRE(world.voters().size() == 3);
+    REQUIRE(world.voters().count("c3") == 1);
+    REQUIRE(world.voters().count("c" + std::to_string(lost)) == 0);
+    // The set bears another loss.
+    world.kill(world.leader(), forGood);
+    world.run(5000);
+    REQUIRE(world.leader() >= 0);
+    world.submit(makeJob("after", { makeStep(2) }));
+    world.run(10000);
+    REQUIRE(world.isComplete());
+}
+
+// Guards against a leader whose lease outlives its isolation: the others elect one of them meanwhile.
+TEST_CASE("A leader that is cut off stops leading before another one begins", "[history]")
+{
+    JobSimulation world(4, 3, 2);
+    world.configure(makeConfiguration());
+    world.run(3000);
+    auto first = world.leader();
+    REQUIRE(first >= 0);
+    world.cut(first, 4000);
+    world.run(3000); // Two leaders at one moment would fail the run.
+    REQUIRE(world.leader() >= 0);
+    REQUIRE(world.leader() != first);
+}
--- a/test/JobSimulation.cpp
+++ b/test/JobSimulation.cpp
@@ -440,6 +440,16 @@
     return -1;
 }
 
+std::set<std::string> JobSimulation::voters() const
+{
+    std::set<std::string> names;
+    if (leader() < 0)
+        return names;
+    for (const auto& voter : m_replicas[leader()]->log().core().log().configuration().voters)
+        names.insert(voter.name);
+    return names;
+}
+
 bool JobSimulation::isComplete() const
 {
     auto leading = leader();
--- a/test/JobSimulation.h
+++ b/test/JobSimulation.h
@@ -52,6 +52,8 @@
 
     /// @return a replica that leads; -1 if there is none.
     int leader() const;
+    /// @return names of the voters as the leader knows them; empty if there is none.
+    std::set<std::string> voters() const;
     /// @return whether all accepted jobs are complete on the leader.
     bool isComplete() const;
     /// @return whether all replicas are up, know a leader and have applied the same entries.
