--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -69,6 +69,10 @@
     /// @param timeout for passing it on.
     kj::Promise<ForwardedResponse> request(ForwardedRequest request, Millis timeout);
 
+    /// Makes further control processes known.
+    /// @param addresses their RPC addresses.
+    void addSeeds(const std::vector<std::string>& addresses) { m_client.addAddresses(addresses); }
+
     /// Hands leadership over, so that this process can end without a pause for others.
     void resign();
 
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -29,8 +29,8 @@
     Millis slack; ///< Time until its remaining work must have started to meet the objective.
 };
 
-/// Long-running jobs first, then those that can still meet their objective by slack, then late ones, then
-/// expired ones.
+/// Long-running jobs first, then those that can still meet their objective by priority and slack, then late
+/// ones, then expired ones.
 bool operator<(const JobRank& a, const JobRank& b);
 
 /// @param spec steps of a job.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -156,8 +156,8 @@
 
 bool operator<(const JobRank& a, const JobRank& b)
 {
-    return std::make_tuple(!a.isLongRunning, a.isExpired, a.isLate, a.slack, a.job)
-        < std::make_tuple(!b.isLongRunning, b.isExpired, b.isLate, b.slack, b.job);
+    return std::make_tuple(!a.isLongRunning, a.isExpired, a.isLate, a.priority, a.slack, a.job)
+        < std::make_tuple(!b.isLongRunning, b.isExpired, b.isLate, b.priority, b.slack, b.job);
 }
 
 Millis remainingChain(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps)
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -52,6 +52,26 @@
     REQUIRE(starts[2].run.task.job == "a-expired");
 }
 
+// Load: two queues of different priority that share a pool.
+TEST_CASE("The queue of the higher priority comes first in a shared pool", "[placement]")
+{
+    auto configuration = makeConfiguration();
+    auto lower = configuration.queues.front();
+    configuration.queues.front().priority = 0;
+    lower.key = "host/lower/";
+    lower.priority = 1;
+    configuration.queues.push_back(lower);
+    JobStore store;
+    store.apply(AcceptConfiguration { configuration }, {});
+    auto early = makeJob("a-lower", { makeStep(1) });
+    early.queue = "host/lower/";
+    store.apply(SubmitJob { early, wall - Millis { 500 } }, {});
+    store.apply(SubmitJob { makeJob("b-higher", { makeStep(1) }), wall }, {});
+    auto starts = planStarts(store, { makeRoom("r", 1000) }, wall);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].run.task.job == "b-higher");
+}
+
 // Guards against long-running jobs that count as expired after a while, so that their pool gave up their
 // machines.
 TEST_CASE("A long-running job is never late", "[placement]")
