Plan again when a runner appears or is free again

Ruled out: a lease that did not lapse (the log shows the end at 39.48 s) and a reserved runner.

A plan is now due when a runner is found and at each housekeeping. The test fails on the earlier code.

--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -49,6 +49,7 @@
     if (now < m_nextHousekeeping || m_isHousekeeping)
         return;
     m_nextHousekeeping = now + m_options.housekeeping;
+    m_mustPlan = true; // Room can appear without a job or an end, as when a machine isn't reserved any more.
     m_runners.forgetSilent(now);
     m_advice.forgetOld(now);
     endLostRuns();
@@ -84,6 +85,7 @@
     bool isNew = m_runners.find(report.life) == nullptr;
     const auto* state = m_runners.accept(report, m_clock().steady);
     if (state != nullptr && isNew) {
+        m_mustPlan = true;
         Event("runner-found")
             .with("runner", report.life.runner)
             .with("born", report.life.born)
--- a/test/JobMasterTest.cpp
+++ b/test/JobMasterTest.cpp
@@ -199,6 +199,31 @@
     REQUIRE(kit.report(holds(0, 3, 100))->stops.size() == 1);
 }
 
+// Guards against a task that waits for room and is forgotten: a new runner, or one that isn't reserved any
+// more, came without any job or end that led to a new plan (LOST, Kromrivier mix with seed 849788192528).
+TEST_CASE("A waiting task starts when a runner appears or is free again", "[master]")
+{
+    MasterKit kit;
+    kit.submit(makeJob("a", { makeStep(1) }));
+    kit.submit(makeJob("b", { makeStep(1) }));
+    kit.master.setReserved({ "s" });
+    kit.report(makeReport("s", 1));
+    kit.advance({ 1000 });
+    REQUIRE(kit.store.runs().empty());
+    kit.master.setReserved({});
+    kit.advance({ 600 });
+    REQUIRE(kit.store.runs().size() == 1);
+    auto large = makeJob("c", { makeStep(4, 4000, 100) });
+    kit.submit(large);
+    kit.advance({ 600 });
+    REQUIRE(kit.store.findTask({ "c", 0, 0, 0 })->runs.empty());
+    auto roomy = makeReport("roomy", 1);
+    roomy.capacity = { 16000, 8000, 0 };
+    kit.report(roomy);
+    kit.master.tick();
+    REQUIRE(kit.store.findTask({ "c", 0, 0, 0 })->runs.size() == 1);
+}
+
 // Guards against an occurrence that starts before its time.
 TEST_CASE("An occurrence is opened when it is due", "[master]")
 {
