Take part in the log again after a storage error

The process stayed up, never wrote again, and went on to name itself as the leader, so that entry processes and runners kept asking it. Ruled out: a disk that stays full, the log shows no second error after 4.0 s.

A storage error now ends a replica's part in the log: what is in memory is dropped, waiting requests get an unknown outcome, no leader is named, and the folder is read again twice a second, as at a restart. Any other error in these tasks (such as damaged data) ends the process with its reason, since it could only stand still.

Random histories now fill disks; the two tests fail when the error is passed on.

--- a/include/celeryline/consensus/LogDriver.h
+++ b/include/celeryline/consensus/LogDriver.h
@@ -18,6 +18,9 @@
 public:
     virtual ~ReplicatedMachine() = default;
 
+    /// Goes back to the state before the first command.
+    virtual void clear() = 0;
+
     /// Applies a committed command. Must be deterministic.
     /// @param entry an entry of kind Command.
     virtual void apply(const LogEntry& entry) = 0;
@@ -37,12 +40,16 @@
     std::uint64_t snapshotBytes = 4 << 20; ///< A snapshot is taken after so many bytes of commands,
     std::uint64_t snapshotEntries = 20000; ///< or after so many entries.
     std::uint64_t keptEntries = 2000; ///< Entries before a snapshot that stay in memory for slow followers.
+    Millis reopenInterval { 500 }; ///< Between tries to read the data folder again after a storage error.
 };
 
 /// Drives RaftCore with its storage on one thread: the caller gives time, messages and proposals, and calls
 /// begin() and finish() in turn. Messages leave between the two calls, so that followers write to their disks
 /// while this replica writes to its own.
 ///
+/// A storage error ends this replica's part in the log until the data folder can be read again. What is in
+/// memory is then dropped, as at a restart, because it isn't known what reached the disk.
+///
 /// Example: `driver.propose(now, wall, payloads, done); for (auto& m : driver.begin()) send(m);
 /// driver.finish();`
 class LogDriver {
@@ -68,21 +75,30 @@
     std::vector<RaftMessage> begin();
 
     /// Makes durable what the log asks for, with at most one sync, and applies what is committed.
+    /// @throws Error of kind Corrupt if what is committed can't be applied.
     void finish();
 
+    /// @return the storage error because of which this replica takes no part in the log; empty if it does.
+    const std::string& failure() const { return m_failure; }
+
     /// @return whether begin() would have something to do.
     bool hasWork() const { return m_hasWork; }
 
+    /// Lets time pass.
+    /// @throws Error of kind Corrupt if the data folder was read again and is damaged.
     void tick(Millis now);
     void receive(Millis now, const RaftMessage& message);
     bool form(const LogEntry& entry);
-    void addPeer(const std::string& name) { m_core->addPeer(name); }
+    void addPeer(const std::string& name);
     bool transferLeadership(Millis now);
 
     /// @param now monotonic time, read just before the call.
     /// @return whether this replica leads, no other can, and it has applied what its predecessors committed.
     bool isLeading(Millis now) const;
 
+    /// @return name of the leader; empty if it isn't known or this replica takes no part in the log.
+    const std::string& leader() const;
+
     const RaftCore& core() const { return *m_core; }
     const ReplicaId& self() const { return m_self; }
 
@@ -96,6 +112,9 @@
         Callback done;
     };
 
+    void open(Millis now);
+    void fail(const std::string& reason);
+    void store(const RaftOutput& output);
     void apply(const LogEntry& entry);
     void endWaiters(std::uint64_t appliedIndex, std::uint64_t term);
     void failWaiters();
@@ -103,12 +122,16 @@
     void provideSnapshot();
 
     LogDriverOptions m_options;
+    FileSystem& m_files;
     ReplicatedMachine& m_machine;
-    RaftStorage m_storage;
+    std::unique_ptr<RaftStorage> m_storage;
     ReplicaId m_self;
     std::unique_ptr<RaftCore> m_core;
     RaftOutput m_output;
     bool m_hasWork = true;
+    std::string m_failure;
+    Millis m_lastTick;
+    Millis m_reopenAt; ///< When to read the data folder again after a storage error.
     std::deque<Waiter> m_waiters;
     std::uint64_t m_appliedIndex = 0;
     std::uint64_t m_appliedTerm = 0;
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -82,7 +82,10 @@
     bool isLeading() const override;
 
     /// @return address of the leader; empty if unknown.
-    const std::string& leader() const { return m_log.core().leader(); }
+    const std::string& leader() const { return m_log.leader(); }
+
+    /// @return a promise that is broken when this process can't go on, as after damage to its data folder.
+    kj::Promise<void> untilFailed() { return kj::mv(m_failed.promise); }
 
     /// @return whether a leader is known.
     bool isReady() const { return !leader().empty(); }
@@ -95,6 +98,7 @@
     std::uint64_t term() const override { return m_log.core().term(); }
     void propose(const std::vector<JobCommand>& commands, std::function<void(bool)> done) override;
 
+    void clear() override;
     void apply(const LogEntry& entry) override;
     std::string takeSnapshot() const override { return m_store.takeSnapshot(); }
     void restoreSnapshot(const std::string& bytes) override;
@@ -106,6 +110,7 @@
     void schedulePump();
     void pump();
     void finishPump();
+    void noteStorage();
     void noteRole();
     void scheduleTick();
     void scheduleIntroductions();
@@ -126,6 +131,8 @@
     bool m_isStoring = false;
     std::uint64_t m_startedTerm = 0; ///< Term for which the JobMaster was started.
     std::string m_loggedLeader;
+    bool m_isStorageFailed = false; ///< It is in the log that the storage failed.
+    kj::PromiseFulfillerPair<void> m_failed = kj::newPromiseAndFulfiller<void>();
     kj::TaskSet m_tasks;
     ControlServer m_server;
 };
--- a/src/consensus/LogDriver.cpp
+++ b/src/consensus/LogDriver.cpp
@@ -1,30 +1,53 @@
 #include "celeryline/consensus/LogDriver.h"
 
+#include "celeryline/base/Error.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace celeryline {
 
 LogDriver::LogDriver(LogDriverOptions options, FileSystem& files, ReplicatedMachine& machine, Millis now)
     : m_options(std::move(options))
+    , m_files(files)
     , m_machine(machine)
-    , m_storage(files, m_options.directory, randomStorageId())
 {
-    auto recovered = m_storage.open();
+    open(now);
+}
+
+void LogDriver::open(Millis now)
+{
+    m_storage = std::make_unique<RaftStorage>(m_files, m_options.directory, randomStorageId());
+    auto recovered = m_storage->open();
     m_self = { m_options.raft.self.name, recovered.storageId };
     m_options.raft.self = m_self;
-    if (recovered.snapshot.index != 0) {
+    m_appliedIndex = recovered.snapshot.index;
+    m_appliedTerm = recovered.snapshot.term;
+    m_appliedTime = recovered.snapshot.time;
+    m_snapshotIndex = m_appliedIndex;
+    m_bytesSinceSnapshot = 0;
+    if (recovered.snapshot.index != 0)
         m_machine.restoreSnapshot(recovered.snapshot.state);
-        m_appliedIndex = recovered.snapshot.index;
-        m_appliedTerm = recovered.snapshot.term;
-        m_appliedTime = recovered.snapshot.time;
-        m_snapshotIndex = m_appliedIndex;
-    }
     m_core = std::make_unique<RaftCore>(
         m_options.raft, recovered.term, recovered.snapshot, recovered.entries, now);
+    m_failure.clear();
+    m_hasWork = true;
+}
+
+void LogDriver::fail(const std::string& reason)
+{
+    m_failure = reason;
+    m_reopenAt = m_lastTick + m_options.reopenInterval;
+    m_output = {};
+    m_hasWork = false;
+    m_machine.clear();
+    failWaiters();
 }
 
 bool LogDriver::propose(Millis now, Millis wall, const std::vector<std::string>& payloads, Callback done)
 {
+    if (!m_failure.empty())
+        return false;
     auto first = m_core->propose(now, wall, payloads);
     if (first == 0)
         return false;
@@ -36,15 +59,29 @@
 std::vector<RaftMessage> LogDriver::begin()
 {
     m_hasWork = false;
+    if (!m_failure.empty())
+        return {};
     m_output = m_core->takeOutput();
     return std::move(m_output.messages);
 }
 
 void LogDriver::finish()
 {
-    auto output = std::exchange(m_output, RaftOutput {});
+    if (!m_failure.empty())
+        return;
+    try {
+        store(std::exchange(m_output, RaftOutput {}));
+    } catch (const Error& e) {
+        if (e.kind() != ErrorKind::Storage)
+            throw;
+        fail(e.what());
+    }
+}
+
+void LogDriver::store(const RaftOutput& output)
+{
     if (output.persistId != 0) {
-        m_storage.persist(output);
+        m_storage->persist(output);
         m_core->persisted(output.persistId);
         m_hasWork = true; // What waited for the disk can go on.
     }
@@ -104,7 +141,7 @@
     snapshot.time = m_appliedTime;
     snapshot.configuration = m_core->log().configurationAt(m_appliedIndex);
     snapshot.state = m_machine.takeSnapshot();
-    m_storage.saveSnapshot(m_appliedIndex, encodeSnapshot(snapshot));
+    m_storage->saveSnapshot(m_appliedIndex, encodeSnapshot(snapshot));
     m_core->compact(m_appliedIndex, m_options.keptEntries);
     m_snapshotIndex = m_appliedIndex;
     m_bytesSinceSnapshot = 0;
@@ -112,7 +149,7 @@
 
 void LogDriver::provideSnapshot()
 {
-    auto bytes = m_storage.loadSnapshot();
+    auto bytes = m_storage->loadSnapshot();
     if (bytes.empty())
         return;
     auto snapshot = decodeSnapshot(bytes, "own snapshot");
@@ -123,31 +160,66 @@
 
 void LogDriver::tick(Millis now)
 {
+    m_lastTick = now;
+    if (!m_failure.empty()) {
+        if (now < m_reopenAt)
+            return;
+        m_reopenAt = now + m_options.reopenInterval;
+        try {
+            open(now);
+        } catch (const Error& e) {
+            if (e.kind() != ErrorKind::Storage)
+                throw;
+            m_failure = e.what();
+            return;
+        }
+    }
     m_core->tick(now);
     m_hasWork = true;
 }
 
 void LogDriver::receive(Millis now, const RaftMessage& message)
 {
+    if (!m_failure.empty())
+        return; // Consensus repeats what is lost.
     m_core->receive(now, message);
     m_hasWork = true;
 }
 
+void LogDriver::addPeer(const std::string& name)
+{
+    // The options keep it for the next core, after a storage error.
+    auto& peers = m_options.raft.peers;
+    if (name != m_self.name && std::find(peers.begin(), peers.end(), name) == peers.end())
+        peers.push_back(name);
+    m_core->addPeer(name);
+}
+
+const std::string& LogDriver::leader() const
+{
+    static const std::string unknown;
+    return m_failure.empty() ? m_core->leader() : unknown;
+}
+
 bool LogDriver::form(const LogEntry& entry)
 {
+    if (!m_failure.empty())
+        return false;
     m_hasWork = true;
     return m_core->form(entry);
 }
 
 bool LogDriver::transferLeadership(Millis now)
 {
+    if (!m_failure.empty())
+        return false;
     m_hasWork = true;
     return m_core->transferLeadership(now);
 }
 
 bool LogDriver::isLeading(Millis now) const
 {
-    return m_core->role() == ConsensusRole::Leader && m_appliedTerm == m_core->term()
+    return m_failure.empty() && m_core->role() == ConsensusRole::Leader && m_appliedTerm == m_core->term()
         && now < m_core->leaseEnd();
 }
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -141,6 +141,13 @@
         done(false);
 }
 
+void ControlNode::clear()
+{
+    m_store = {};
+    if (m_machines)
+        m_machines->noteSnapshot();
+}
+
 void ControlNode::apply(const LogEntry& entry)
 {
     auto command = decodeJobCommand(entry.payload);
@@ -180,6 +187,7 @@
 {
     m_log.finish();
     m_isStoring = false;
+    noteStorage();
     noteRole();
     m_master.tick();
     if (m_machines)
@@ -188,6 +196,18 @@
         schedulePump();
 }
 
+void ControlNode::noteStorage()
+{
+    bool isFailed = !m_log.failure().empty();
+    if (isFailed == m_isStorageFailed)
+        return;
+    m_isStorageFailed = isFailed;
+    Event(isFailed ? "storage-failed" : "storage-recovered")
+        .with("term", term())
+        .with("reason", m_log.failure())
+        .writeAlways();
+}
+
 void ControlNode::noteRole()
 {
     if (leader() != m_loggedLeader) {
@@ -228,10 +248,15 @@
         if (address == m_options.address)
             continue;
         auto answered = m_links.to(address).introduce(ownIntroduction(), introductionTimeout);
-        m_tasks.add(answered.then([this](CallResult<Introduction>&& call) {
-            if (call.hasResult)
-                onIntroduction(call.result);
-        }));
+        m_tasks.add(answered
+                        .then([this](CallResult<Introduction>&& call) {
+                            if (call.hasResult)
+                                onIntroduction(call.result);
+                        })
+                        .catch_([](kj::Exception&& exception) {
+                            LOG4CXX_WARN(logger("control"),
+                                "introduction refused: " << exception.getDescription().cStr());
+                        }));
     }
     auto pause = leader().empty() ? introductionsWithoutLeader : introductionsWithLeader;
     m_tasks.add(m_timer.afterDelay(pause).then([this] { scheduleIntroductions(); }));
@@ -239,7 +264,9 @@
 
 void ControlNode::taskFailed(kj::Exception&& exception)
 {
+    // Each of these tasks schedules the next one, so this process would stand still.
     LOG4CXX_ERROR(logger("control"), "task failed: " << exception.getDescription().cStr());
+    m_failed.fulfiller->reject(kj::mv(exception));
 }
 
 } // namespace celeryline
--- a/test/JobHistoryTest.cpp
+++ b/test/JobHistoryTest.cpp
@@ -27,7 +27,7 @@
     auto replica = static_cast<int>(world.below(replicas));
     auto runner = static_cast<int>(world.below(runners));
     auto length = 200 + static_cast<std::int64_t>(world.below(3000));
-    switch (world.below(8)) {
+    switch (world.below(9)) {
     case 0:
         world.kill(replica, length);
         break;
@@ -55,6 +55,9 @@
     case 6:
         world.restartRunner(runner);
         break;
+    case 7:
+        world.fillDisk(world.leader() >= 0 ? world.leader() : replica, length);
+        break;
     default:
         for (int i = 0; i < replicas; ++i)
             world.kill(i, length); // All lose power, and keep their disks.
@@ -136,3 +139,27 @@
     REQUIRE(world.leader() >= 0);
     REQUIRE(world.leader() != first);
 }
+
+// Guards against a replica that never takes part in the log again after its disk was full, and that others
+// still take for the leader.
+TEST_CASE("A replica with a full disk stops leading and comes back", "[history]")
+{
+    JobSimulation world(5, 3, 2);
+    world.configure(makeConfiguration());
+    world.run(3000);
+    auto full = world.leader();
+    REQUIRE(full >= 0);
+    world.fillDisk(full, 6000);
+    world.submit(makeJob("while-full", { makeStep(2) }));
+    world.run(4000);
+    REQUIRE(world.leader() >= 0);
+    REQUIRE(world.leader() != full);
+    REQUIRE(world.isComplete());
+    world.run(5000);
+    REQUIRE(world.isConverged());
+    // It holds all that was accepted: the others may be gone.
+    world.kill((full + 1) % 3, 3000);
+    world.submit(makeJob("afterwards", { makeStep(2) }));
+    world.run(8000);
+    REQUIRE(world.isComplete());
+}
--- a/test/JobSimulation.cpp
+++ b/test/JobSimulation.cpp
@@ -4,6 +4,7 @@
 #include "celeryline/consensus/LogFormation.h"
 
 #include <algorithm>
+#include <limits>
 #include <sstream>
 #include <stdexcept>
 
@@ -14,6 +15,8 @@
 constexpr std::int64_t answerLimitMs = 1000;
 constexpr std::int64_t idleReportMs = 1500;
 constexpr std::int64_t afterEndMs = 50;
+constexpr std::int64_t restartMs = 300;
+constexpr std::uint64_t unlimited = std::numeric_limits<std::uint64_t>::max();
 /// Of runners' clocks, which measure leases.
 constexpr double slowClock = 1.02;
 
@@ -36,6 +39,19 @@
     {
     }
 
+    /// A process whose disk fails at its start ends, and is started again.
+    void tryStart()
+    {
+        try {
+            start();
+        } catch (const Error& e) {
+            if (e.kind() != ErrorKind::Storage)
+                throw;
+            stop();
+            downUntil = m_world.m_now + restartMs;
+        }
+    }
+
     void start()
     {
         LogDriverOptions options;
@@ -70,8 +86,10 @@
 
     void step()
     {
+        if (m_world.m_now >= diskFullUntil)
+            m_files->setFreeBytes(unlimited);
         if (!isUp() && m_world.m_now >= downUntil)
-            start();
+            tryStart();
         if (!canAct())
             return;
         auto waiting = std::move(inbox);
@@ -107,6 +125,7 @@
     std::int64_t downUntil = 0;
     std::int64_t frozenUntil = 0;
     std::int64_t cutUntil = 0;
+    std::int64_t diskFullUntil = 0;
     std::vector<std::function<void()>> inbox; ///< What reached it while it stood still, and since.
 
 private:
@@ -123,6 +142,7 @@
             done(false);
     }
 
+    void clear() override { *m_store = {}; }
     void apply(const LogEntry& entry) override
     {
         m_store->apply(decodeJobCommand(entry.payload), entry.time);
@@ -411,6 +431,12 @@
     m_replicas[replica]->files() = std::make_unique<MemoryFileSystem>(m_random());
 }
 
+void JobSimulation::fillDisk(int replica, std::int64_t forMs)
+{
+    m_replicas[replica]->files()->setFreeBytes(below(2000));
+    m_replicas[replica]->diskFullUntil = m_now + forMs;
+}
+
 void JobSimulation::freeze(int replica, std::int64_t forMs)
 {
     m_replicas[replica]->frozenUntil = m_now + forMs;
@@ -466,7 +492,7 @@
 {
     std::uint64_t commit = 0;
     for (const auto& replica : m_replicas) {
-        if (!replica->isUp() || replica->log().core().leader().empty())
+        if (!replica->isUp() || replica->log().leader().empty())
             return false;
         auto index = replica->log().core().commitIndex();
         if (commit != 0 && index != commit)
