Order machines soon after a restart, unless they were ordered lately

Two reasons: a replica that restarts applies all orders of the log at once, so that each machine counted as ordered just then and was left alone for the lease of machines; and a new leader took all machines for new in their pool, which keeps them there for three seconds. Ruled out: the provider, whose orders all came back within 30 ms.

A new leader knows how long an order lies before the newest one of the same leader, and waits after its own earlier orders only until they can't arrive any more. The first list of a term doesn't make machines new in their pool.

--- a/include/celeryline/jobs/JobCommand.h
+++ b/include/celeryline/jobs/JobCommand.h
@@ -73,18 +73,26 @@
     Millis startedAt; ///< Wall time.
 };
 
+/// Who orders a machine, and when. With it, the next leader knows how long it must leave the machine alone.
+struct MachineOrder {
+    std::string holder; ///< Name of the leading instance.
+    std::uint64_t fence = 0; ///< Its term.
+    Millis at; ///< Its steady time; comparable with other orders of this fence only.
+};
+
 /// States that a machine's upkeep is about to be ordered, or has been done.
 struct NoteUpkeep {
     std::uint64_t wave = 0;
     std::string machine;
     bool isDone = false;
+    MachineOrder order; ///< Unused when it is done.
 };
 
-/// States that a machine is about to be ordered to another pool. Changes no state: each replica notes when it
-/// came, so that after a change of leader the machine gets no order too soon after the earlier leader's.
+/// States that a machine is about to be ordered to another pool.
 struct NoteMove {
     std::string machine;
     std::string pool;
+    MachineOrder order;
 };
 
 /// A change of the replicated job state.
--- a/include/celeryline/jobs/JobSerialization.h
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -98,14 +98,19 @@
     archive(value.wave, value.machines, value.deadline, value.maxAtOnce, value.startedAt);
 }
 
+template <typename Archive> void serialize(Archive& archive, MachineOrder& value)
+{
+    archive(value.holder, value.fence, value.at);
+}
+
 template <typename Archive> void serialize(Archive& archive, NoteUpkeep& value)
 {
-    archive(value.wave, value.machine, value.isDone);
+    archive(value.wave, value.machine, value.isDone, value.order);
 }
 
 template <typename Archive> void serialize(Archive& archive, NoteMove& value)
 {
-    archive(value.machine, value.pool);
+    archive(value.machine, value.pool, value.order);
 }
 
 template <typename Archive> void serialize(Archive& archive, TaskRun& value)
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -33,6 +33,9 @@
     const std::map<std::string, JobState>& jobs() const { return m_jobs; }
     const std::map<std::uint64_t, WaveState>& waves() const { return m_waves; }
 
+    /// @return the newest order for each machine that was ever ordered anything.
+    const std::map<std::string, MachineOrder>& machineOrders() const { return m_machineOrders; }
+
     /// @return ids of the jobs that are open.
     const std::set<std::string>& openJobs() const { return m_openJobs; }
 
@@ -62,7 +65,7 @@
     void accept(const ForgetJob& command, Millis time);
     void accept(const StartWave& command, Millis time);
     void accept(const NoteUpkeep& command, Millis time);
-    void accept(const NoteMove&, Millis) { }
+    void accept(const NoteMove& command, Millis time);
 
     JobState* mutableJob(const std::string& id);
     std::vector<StepState>* mutableSteps(const TaskName& task);
@@ -79,6 +82,7 @@
     QueueConfiguration m_configuration;
     std::map<std::string, JobState> m_jobs;
     std::map<std::uint64_t, WaveState> m_waves;
+    std::map<std::string, MachineOrder> m_machineOrders;
     std::set<std::string> m_openJobs; ///< Derived.
     std::map<RunnerLife, std::set<RunName>> m_runs; ///< Derived.
 };
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -19,9 +19,11 @@
 /// Constants of MachineMaster.
 struct MachineMasterOptions {
     std::string holder; ///< Name of this instance in orders for machines.
-    /// From an order for a machine until another holder may give one. An earlier leader's order counts from
-    /// when it was committed here.
+    /// From an order for a machine until another holder may give one.
     Millis quietTime { 3500 };
+    /// From an order of this instance's earlier term, which may still be on its way, until it may give
+    /// another.
+    Millis orderTime { 1500 };
     Millis moveTime { 1500 }; ///< From a move's order until the new runner is up.
     Millis upkeepTime { 2000 }; ///< From an upkeep's order until the new runner is up.
     Millis listInterval { 1000 };
@@ -48,7 +50,7 @@
     /// Takes notice of a committed command, on every replica.
     void noteCommitted(const JobCommand& command);
 
-    /// Takes notice that the state was replaced by a snapshot, which doesn't tell when machines were ordered.
+    /// Takes notice that the state was replaced by a snapshot; its orders for machines were given before.
     void noteSnapshot();
 
     /// Lets time pass. Call it every few tens of milliseconds.
@@ -88,10 +90,14 @@
     void advance(const std::string& machine, Task& task);
     void recallLasting(const std::string& runner);
     void record(const std::string& machine);
+    void noteEarlierOrders();
+    Millis appliedAt(const std::string& machine) const;
     bool isQuiet(const std::string& machine) const;
+    bool mayBeAway(const std::string& machine) const;
     void order(const std::string& machine, Task& task);
     void finishOrder(const std::string& machine, MachineOutcome outcome);
     void publishReserved();
+    MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
     MachineLease lease() const { return { m_options.holder, m_log.term() }; }
 
     MachineMasterOptions m_options;
@@ -101,9 +107,12 @@
     MachineProvider& m_provider;
     std::function<Moment()> m_clock;
     std::uint64_t m_term = 0;
-    Millis m_termStart;
-    Millis m_snapshotAt; ///< Orders from before it count as given then.
-    std::map<std::string, Millis> m_orderedAt; ///< When the newest order for each machine was committed here.
+    Millis m_snapshotAt; ///< When the state was replaced by a snapshot.
+    std::map<std::string, Millis> m_appliedAt; ///< When the newest order for each machine was applied here.
+    /// Machines that earlier leaders ordered: until when no other order may be given.
+    std::map<std::string, Millis> m_quietUntil;
+    /// Machines that earlier leaders ordered: until when they may be down because of that.
+    std::map<std::string, Millis> m_awayUntil;
     Millis m_nextList;
     Millis m_nextPlan;
     Millis m_nextBalanceLog;
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -187,8 +187,12 @@
     found->second.begun.insert(command.machine);
     if (command.isDone)
         found->second.done.insert(command.machine);
+    else
+        m_machineOrders[command.machine] = command.order;
 }
 
+void JobStore::accept(const NoteMove& command, Millis) { m_machineOrders[command.machine] = command.order; }
+
 void JobStore::openOccurrence(JobState& job, std::uint32_t occurrence)
 {
     std::vector<StepState> steps(job.spec.steps.size());
@@ -276,7 +280,7 @@
 {
     std::ostringstream stream;
     cereal::PortableBinaryOutputArchive archive(stream);
-    archive(m_configuration, m_jobs, m_waves);
+    archive(m_configuration, m_jobs, m_waves, m_machineOrders);
     return stream.str();
 }
 
@@ -286,7 +290,7 @@
     std::istringstream stream(bytes);
     try {
         cereal::PortableBinaryInputArchive archive(stream);
-        archive(restored.m_configuration, restored.m_jobs, restored.m_waves);
+        archive(restored.m_configuration, restored.m_jobs, restored.m_waves, restored.m_machineOrders);
     } catch (const std::exception& e) {
         throw Error(ErrorKind::Corrupt, std::string("a snapshot of the jobs can't be read: ") + e.what(),
             "run the same version on all instances");
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -54,11 +54,11 @@
 void MachineMaster::startTerm()
 {
     m_term = m_log.term();
-    m_termStart = m_clock().steady;
     m_isListing = false;
     m_machines.clear();
     m_tasks.clear();
     m_absentSince.clear();
+    noteEarlierOrders();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
             // The earlier leader may have ordered it; the same order again does no harm.
@@ -88,20 +88,59 @@
 {
     auto now = m_clock().steady;
     if (const auto* move = std::get_if<NoteMove>(&command))
-        m_orderedAt[move->machine] = now;
+        m_appliedAt[move->machine] = now;
     const auto* upkeep = std::get_if<NoteUpkeep>(&command);
     if (upkeep != nullptr && !upkeep->isDone)
-        m_orderedAt[upkeep->machine] = now;
+        m_appliedAt[upkeep->machine] = now;
 }
 
-void MachineMaster::noteSnapshot() { m_snapshotAt = m_clock().steady; }
+void MachineMaster::noteSnapshot()
+{
+    m_snapshotAt = m_clock().steady;
+    m_appliedAt.clear();
+}
+
+Millis MachineMaster::appliedAt(const std::string& machine) const
+{
+    auto found = m_appliedAt.find(machine);
+    return found == m_appliedAt.end() ? m_snapshotAt : found->second;
+}
+
+void MachineMaster::noteEarlierOrders()
+{
+    m_quietUntil.clear();
+    m_awayUntil.clear();
+    auto now = m_clock().steady;
+    const auto& orders = m_store.machineOrders();
+    std::map<std::uint64_t, std::string> newest; // The machine with the newest order, by fence.
+    for (const auto& [machine, order] : orders) {
+        auto& best = newest.emplace(order.fence, machine).first->second;
+        if (orders.at(best).at < order.at)
+            best = machine;
+    }
+    for (const auto& [machine, order] : orders) {
+        // A replica that has just restarted applied all orders a moment ago. How long they lie before the
+        // newest one of the same leader is known by that leader's own clock.
+        const auto& last = newest.at(order.fence);
+        auto givenBefore = std::min(appliedAt(machine), appliedAt(last) - (orders.at(last).at - order.at));
+        auto quietTime = order.holder == m_options.holder ? m_options.orderTime : m_options.quietTime;
+        if (now < givenBefore + quietTime)
+            m_quietUntil[machine] = givenBefore + quietTime;
+        if (now < givenBefore + m_options.quietTime)
+            m_awayUntil[machine] = givenBefore + m_options.quietTime;
+    }
+}
 
 bool MachineMaster::isQuiet(const std::string& machine) const
 {
-    auto found = m_orderedAt.find(machine);
-    auto orderedAt = found == m_orderedAt.end() ? m_snapshotAt : found->second;
-    // Orders of this term are this instance's own.
-    return orderedAt <= m_termStart && m_clock().steady < orderedAt + m_options.quietTime;
+    auto found = m_quietUntil.find(machine);
+    return found != m_quietUntil.end() && m_clock().steady < found->second;
+}
+
+bool MachineMaster::mayBeAway(const std::string& machine) const
+{
+    auto found = m_awayUntil.find(machine);
+    return found != m_awayUntil.end() && m_clock().steady < found->second;
 }
 
 void MachineMaster::refreshList()
@@ -118,6 +157,9 @@
 void MachineMaster::takeList(const std::vector<MachineInfo>& machines)
 {
     std::map<std::string, Machine> known;
+    // The first list of a term doesn't tell since when a machine has been in its pool; most came long ago, and
+    // those that an earlier leader has just moved are left alone for other reasons.
+    auto firstSeen = m_machines.empty() ? m_clock().steady - m_options.freshTime : m_clock().steady;
     for (const auto& info : machines) {
         auto found = m_machines.find(info.machine);
         // While something is done to a machine, the list may be older than what was ordered.
@@ -125,7 +167,7 @@
         Machine machine;
         machine.info = isInWork ? found->second.info : info;
         bool isSamePool = found != m_machines.end() && found->second.info.pool == machine.info.pool;
-        machine.inPoolSince = isSamePool ? found->second.inPoolSince : m_clock().steady;
+        machine.inPoolSince = isSamePool ? found->second.inPoolSince : firstSeen;
         known[info.machine] = std::move(machine);
     }
     m_machines = std::move(known);
@@ -272,7 +314,7 @@
         }
         if (wave.done.count(name) != 0) {
             // An earlier leader took it down a moment ago; it may not be back.
-            situation.away += isQuiet(name) ? 1 : 0;
+            situation.away += mayBeAway(name) ? 1 : 0;
             continue;
         }
         auto known = m_machines.find(name);
@@ -301,7 +343,7 @@
         .with("wave", wave)
         .with("absentMs", goneAfter)
         .writeAlways();
-    m_log.propose({ NoteUpkeep { wave, machine, true } }, [](bool) {});
+    m_log.propose({ NoteUpkeep { wave, machine, true, {} } }, [](bool) {});
 }
 
 void MachineMaster::planMoves(
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -84,9 +84,9 @@
     auto& task = m_tasks[machine];
     task.stage = Stage::Recording;
     task.since = m_clock().steady;
-    JobCommand note = NoteMove { machine, task.pool };
+    JobCommand note = NoteMove { machine, task.pool, nextOrder() };
     if (task.wave != 0)
-        note = NoteUpkeep { task.wave, machine, false };
+        note = NoteUpkeep { task.wave, machine, false, nextOrder() };
     m_log.propose({ note }, [this, machine](bool isCommitted) {
         auto found = m_tasks.find(machine);
         if (isCommitted && found != m_tasks.end())
@@ -131,7 +131,7 @@
         return; // It is sent again.
     bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
     if (task.wave != 0 && isOver)
-        m_log.propose({ NoteUpkeep { task.wave, machine, true } }, [](bool) {});
+        m_log.propose({ NoteUpkeep { task.wave, machine, true, {} } }, [](bool) {});
     if (outcome != MachineOutcome::Done) {
         m_tasks.erase(found);
         publishReserved();
