Judge runners by how tasks end and go on there, and never start a run whose lease lapsed

Ruled out: estimates, since reports show the progress of each run and thus its real duration.

Runs that stand still for a second, or are three times as slow as on the other runners of the pool, begin again elsewhere, as a copy beside the slow run where the step allows it. judgeWorker(), moved to the jobs module, puts runners into quarantine that fail tasks of several steps. A task doesn't start again where it failed. Steps that should share a rack go to one.

--- a/bench/JobScenario.cpp
+++ b/bench/JobScenario.cpp
@@ -1,7 +1,7 @@
 #include "JobScenario.h"
 
 #include "celeryline/decisions/JobPlacement.h"
-#include "celeryline/decisions/WorkerHealth.h"
+#include "celeryline/jobs/WorkerHealth.h"
 
 #include <algorithm>
 #include <chrono>
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -6,6 +6,7 @@
 #include "celeryline/jobs/FillerPace.h"
 #include "celeryline/jobs/JobStore.h"
 #include "celeryline/jobs/RunnerTable.h"
+#include "celeryline/jobs/RunnerTrust.h"
 #include "celeryline/jobs/StartPlan.h"
 
 #include <functional>
@@ -63,6 +64,7 @@
     Millis reportWhenFull { 1000 }; ///< When a runner without free capacity should report again.
     Millis endedJobsKept { 180000 }; ///< How long the state of an ended job can be read.
     Millis housekeeping { 500 }; ///< Interval of lease checks and the like.
+    OverdueLimits overdue;
 };
 
 /// The leader's control of jobs and runners: turns reports and requests into commands, and committed state
@@ -149,6 +151,12 @@
     void askFor(const TaskName& step, const std::string& service, const std::vector<RunnerRoom>& rooms);
     void paceFillers(const RunnerReport& report, RunnerOrders& orders);
     ServingTail tailOf(const RunnerReport& report) const;
+    void noteEnds(const std::vector<JobCommand>& commands, const RunnerReport& report);
+    void noteFailure(const RunName& run, const RunnerLife& life);
+    std::vector<ObservedRun> observedRuns() const;
+    void replaceOverdueRuns();
+    bool replaceOverdueRun(const OverdueRun& overdue);
+    void dropOldNotes();
     void endLostRuns();
     void openDueOccurrences();
     void forgetOldJobs();
@@ -163,6 +171,10 @@
     std::vector<std::shared_ptr<PendingReport>> m_waiting; ///< Reports that wait for the plan.
     std::set<std::string> m_reserved; ///< Runners that get no further tasks.
     std::set<RunName> m_recalled; ///< Runs that are being stopped to start elsewhere.
+    std::set<RunName> m_lapsing; ///< Runs whose lease lapsed, while that is being committed.
+    std::set<RunName> m_overdue; ///< Runs that are being replaced because they hardly go on.
+    RunnerTrust m_trust;
+    StartHints m_hints;
     PlacementAdvisor* m_advisor = nullptr; ///< Null if there is no such service.
     AdviceBook m_advice;
     std::size_t m_asking = 0; ///< Calls to the advisor that have no answer yet.
--- a/include/celeryline/jobs/RunnerReport.h
+++ b/include/celeryline/jobs/RunnerReport.h
@@ -35,6 +35,7 @@
     std::string dataCentre;
     std::string machine; ///< Machine that the runner lives on; empty if unknown.
     std::vector<std::string> labels;
+    std::string rack; ///< Empty if unknown.
     Resources capacity;
     bool isDraining = false;
     Millis remaining; ///< While draining: time until it leaves at the earliest.
--- a/include/celeryline/jobs/RunnerTable.h
+++ b/include/celeryline/jobs/RunnerTable.h
@@ -2,6 +2,7 @@
 /// What the leader knows of the runners.
 #pragma once
 
+#include "celeryline/jobs/RunProgress.h"
 #include "celeryline/jobs/RunnerReport.h"
 
 #include <map>
@@ -16,6 +17,7 @@
     Millis leaseEnd; ///< From then on nothing of what it held can run, unless a report comes before.
     std::uint64_t acknowledgedEnds = 0;
     bool hasLeft = false;
+    std::map<RunName, RunProgress> progress; ///< Of the runs in the newest report.
     std::int64_t fillerPace = 100; ///< Part of their speed that filling tasks have there, in percent.
 };
 
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -5,6 +5,8 @@
 #include "celeryline/jobs/JobStore.h"
 
 #include <functional>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,15 @@
     std::vector<std::string> labels;
     Resources free;
     std::uint32_t lasting = 0; ///< Long-running tasks that it holds.
+    std::string rack {}; ///< Empty if unknown.
+    std::uint32_t failuresInARow = 0; ///< Tasks that failed there since one ended well.
+    bool takesOneTask = false; ///< It is being tried out after it failed many tasks.
+};
+
+/// What the leader knows about tasks beyond their committed state.
+struct StartHints {
+    std::set<TaskName> copies; ///< Tasks whose run is so slow that another one should run beside it.
+    std::map<TaskName, std::set<std::string>> failedOn; ///< Runners on which a task failed.
 };
 
 /// Where a job stands in the order of starts.
@@ -59,14 +70,17 @@
 /// Chooses starts for tasks whose turn has come. Tasks of a job are placed in the order of rankJobs(), each
 /// on the runner where it fits closest, so that large gaps stay for large tasks. The members of a gang start
 /// all together or not at all.
+/// A step whose tasks should share a rack goes to the rack that holds it most closely. A task doesn't start
+/// again where it failed while the pool has another runner for it. Copies of slow tasks get what is left.
 /// @param store jobs and configuration.
 /// @param rooms room on each runner that takes new tasks.
 /// @param wallNow wall time.
+/// @param hints what else is known of the tasks.
 /// @param isAdvised asked for steps of queues that need advice; without it they don't start.
 /// @return the starts.
 ///
 /// Example: `for (const auto& start : planStarts(store, rooms, wallNow)) { propose(start); }`
 std::vector<StartRun> planStarts(const JobStore& store, std::vector<RunnerRoom> rooms, Millis wallNow,
-    const AdviceCheck& isAdvised = nullptr);
+    const StartHints& hints = {}, const AdviceCheck& isAdvised = nullptr);
 
 } // namespace celeryline
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -35,6 +35,10 @@
     m_mustPlan = true;
     m_reserved.clear();
     m_recalled.clear();
+    m_lapsing.clear();
+    m_overdue.clear();
+    m_trust.clear();
+    m_hints = {};
     m_advice.clear();
     m_asking = 0;
 }
@@ -52,6 +56,9 @@
     m_mustPlan = true; // Room can appear without a job or an end, as when a machine isn't reserved any more.
     m_runners.forgetSilent(now);
     m_advice.forgetOld(now);
+    m_trust.refresh(now);
+    dropOldNotes();
+    replaceOverdueRuns();
     endLostRuns();
     openDueOccurrences();
     forgetOldJobs();
@@ -114,6 +121,7 @@
             return;
         }
         logEnds(m_store, commands, pending->report.life.runner);
+        noteEnds(commands, pending->report);
         plan();
         answerAfterPlan(pending);
     });
@@ -179,8 +187,15 @@
         bool isSilent = now >= state.heardAt + m_options.runnerHold;
         if (report.isDraining || state.hasLeft || isSilent || m_reserved.count(id) != 0)
             continue;
+        auto trust = m_trust.trust(report.life);
+        bool isBusy = m_store.runs().count(report.life) != 0;
+        if (trust == WorkerTrust::Quarantined || (trust == WorkerTrust::Probation && isBusy))
+            continue;
         auto reserved = reservedOn(report.life);
         RunnerRoom room;
+        room.takesOneTask = trust == WorkerTrust::Probation;
+        room.failuresInARow = m_trust.failuresInARow(report.life);
+        room.rack = report.rack;
         room.life = report.life;
         room.service = report.service;
         room.labels = report.labels;
@@ -202,10 +217,10 @@
     auto free = rooms();
     askForAdvice(free);
     auto now = m_clock();
-    auto starts
-        = planStarts(m_store, free, now.wall, [this, now](const TaskName& step, const std::string& runner) {
-              return m_advice.ticket(step, runner, now.steady) != nullptr;
-          });
+    auto starts = planStarts(
+        m_store, free, now.wall, m_hints, [this, now](const TaskName& step, const std::string& runner) {
+            return m_advice.ticket(step, runner, now.steady) != nullptr;
+        });
     if (starts.empty())
         return;
     m_isPlanning = true;
@@ -293,6 +308,8 @@
     const auto* task = m_store.findTask(run.task);
     if (job == nullptr || task == nullptr || job->phase != JobPhase::Open || task->isDone)
         return false;
+    if (m_lapsing.count(run) != 0)
+        return false;
     return std::any_of(task->runs.begin(), task->runs.end(),
         [&](const TaskRun& known) { return known.number == run.run && known.life == life; });
 }
@@ -314,21 +331,20 @@
 {
     std::vector<JobCommand> commands;
     auto now = m_clock().steady;
-    for (auto it = m_recalled.begin(); it != m_recalled.end();) {
-        const auto* task = m_store.findTask(it->task);
-        bool isOver = task == nullptr || task->runs.empty() || task->lastRun != it->run;
-        it = isOver ? m_recalled.erase(it) : std::next(it);
-    }
     for (const auto& [life, runs] : m_store.runs()) {
         if (!m_runners.isOver(life, now))
             continue;
-        for (const auto& run : runs)
+        for (const auto& run : runs) {
             commands.push_back(EndRun { run, RunEnd::Lapsed, "" });
+            // The runner may report again before the commit, and must not be ordered to begin the run then.
+            m_lapsing.insert(run);
+        }
     }
     if (commands.empty())
         return;
     m_isHousekeeping = true;
     m_log.propose(commands, [this, commands](bool isCommitted) {
+        m_lapsing.clear();
         if (isCommitted)
             logEnds(m_store, commands, "");
         m_isHousekeeping = false;
--- a/src/jobs/RunnerTable.cpp
+++ b/src/jobs/RunnerTable.cpp
@@ -19,6 +19,20 @@
     return Millis { hold.count * (100 + clockDriftPercent) / 100 } + leaseMargin;
 }
 
+std::map<RunName, RunProgress> progressAfter(
+    const std::map<RunName, RunProgress>& before, const RunnerReport& report, Millis now)
+{
+    std::map<RunName, RunProgress> after;
+    for (const auto& reported : report.running) {
+        auto known = before.find(reported.run);
+        std::optional<RunProgress> earlier;
+        if (known != before.end())
+            earlier = known->second;
+        after[reported.run] = noteProgress(earlier, reported.percent, now);
+    }
+    return after;
+}
+
 } // namespace
 
 void RunnerTable::reset(Millis now)
@@ -37,6 +51,7 @@
         return nullptr;
     if (isKnown && report.life != state.report.life)
         state = RunnerState {};
+    state.progress = progressAfter(state.progress, report, now);
     state.report = report;
     state.heardAt = now;
     state.leaseEnd = now + longestHold(m_hold);
--- a/src/decisions/WorkerHealth.cpp
+++ b/src/jobs/WorkerHealth.cpp
@@ -1,4 +1,4 @@
-#include "celeryline/decisions/WorkerHealth.h"
+#include "celeryline/jobs/WorkerHealth.h"
 
 #include "celeryline/base/Invariant.h"
 
--- a/test/JobMasterTest.cpp
+++ b/test/JobMasterTest.cpp
@@ -250,3 +250,70 @@
     kit.advance({ 300000 });
     REQUIRE(kit.store.findJob("a") == nullptr);
 }
+
+// Guards against a run that begins while its end is on its way into the log: the runner was silent until its
+// lease had lapsed, and reports again before the commit. The task would then run a second time.
+TEST_CASE("A run whose lease lapsed isn't ordered again while its end is being committed", "[master]")
+{
+    MasterKit kit;
+    kit.report(makeReport("r", 1));
+    kit.advance({ 3900 });
+    kit.submit(makeJob("j", { makeStep(1) }));
+    REQUIRE(kit.store.runs().size() == 1);
+    kit.log.commitsAtOnce = false;
+    kit.advance({ 600 });
+    REQUIRE(!kit.log.proposals.empty());
+    std::optional<RunnerOrders> answer;
+    kit.master.report(
+        makeReport("r", 2), [&](std::optional<RunnerOrders> orders) { answer = std::move(orders); });
+    kit.log.commitsAtOnce = true;
+    kit.log.commit();
+    REQUIRE(answer);
+    REQUIRE(answer->starts.size() == 1);
+    REQUIRE(answer->starts.front().run.run == 2);
+}
+
+// Guards against a stop of a long-running task that is about to work (AVAIL, Kromrivier trouble-2 and scale-1
+// varied with seed 26).
+TEST_CASE("A long-running task that isn't at work yet is left alone", "[master]")
+{
+    MasterKit kit;
+    auto step = makeStep(1);
+    step.isLongRunning = true;
+    kit.report(makeReport("r", 1));
+    kit.submit(makeJob("a", { step }));
+    auto start = kit.report(makeReport("r", 2))->starts;
+    REQUIRE(start.size() == 1);
+    for (std::uint64_t sequence = 3; sequence < 40; ++sequence) {
+        kit.advance({ 200 });
+        kit.report(makeReport("other", sequence));
+        auto report = makeReport("r", sequence);
+        report.running.push_back(running(start[0], 0));
+        REQUIRE(kit.report(report)->stops.empty());
+    }
+}
+
+// Load: a worker on which all tasks stand still.
+TEST_CASE("A run that stands still is stopped and starts again on another runner", "[master]")
+{
+    MasterKit kit;
+    kit.report(makeReport("hung", 1));
+    kit.submit(makeJob("a", { makeStep(1) }));
+    auto start = kit.report(makeReport("hung", 2))->starts.at(0);
+    std::uint64_t sequence = 2;
+    bool isStopped = false;
+    for (int i = 0; i < 15 && !isStopped; ++i) {
+        kit.advance({ 200 });
+        kit.report(makeReport("good", sequence));
+        auto report = makeReport("hung", ++sequence);
+        report.running.push_back(running(start, 10));
+        isStopped = !kit.report(report)->stops.empty();
+    }
+    REQUIRE(isStopped);
+    auto report = makeReport("hung", ++sequence);
+    report.ended.push_back(ended(1, start, RunEnd::Stopped));
+    REQUIRE(kit.report(report)->starts.empty());
+    auto again = kit.report(makeReport("good", ++sequence))->starts;
+    REQUIRE(again.size() == 1);
+    REQUIRE(again[0].run.run == 2);
+}
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -170,3 +170,64 @@
     auto store = storeWith({ makeJob("a", { filler }) });
     REQUIRE(planStarts(store, { makeRoom("r", 0) }, wall).size() == 2);
 }
+
+// Load: steps whose tasks are slower when they are spread over racks.
+TEST_CASE("A step that should share a rack goes where all of it fits most closely", "[placement]")
+{
+    auto step = makeStep(3);
+    step.sameRack = true;
+    auto store = storeWith({ makeJob("j", { step }) });
+    std::vector<RunnerRoom> rooms = { makeRoom("a1", 2000), makeRoom("b1", 2000), makeRoom("b2", 2000),
+        makeRoom("c1", 4000), makeRoom("c2", 4000) };
+    rooms[0].rack = "a";
+    rooms[1].rack = rooms[2].rack = "b";
+    rooms[3].rack = rooms[4].rack = "c";
+    auto counts = startsByRunner(planStarts(store, rooms, wall));
+    REQUIRE(counts["b1"] + counts["b2"] == 3);
+    // What runs already decides for the tasks that follow.
+    store.apply(StartRun { { { "j", 0, 0, 0 }, 1 }, rooms[3].life }, {});
+    counts = startsByRunner(planStarts(store, rooms, wall));
+    REQUIRE(counts["c1"] + counts["c2"] == 2);
+}
+
+// Load: a worker that fails everything has the least room left, so that tasks fit there most closely.
+TEST_CASE("A task doesn't start again where it failed, and goes last to where others failed", "[placement]")
+{
+    auto store = storeWith({ makeJob("j", { makeStep(1) }) });
+    StartHints hints;
+    hints.failedOn[{ "j", 0, 0, 0 }] = { "bad" };
+    REQUIRE(planStarts(store, { makeRoom("bad", 1000), makeRoom("full", 0) }, wall, hints).empty());
+    REQUIRE(planStarts(store, { makeRoom("bad", 1000) }, wall, hints).size() == 1);
+    auto suspect = makeRoom("suspect", 1000);
+    suspect.failuresInARow = 1;
+    auto starts = planStarts(store, { suspect, makeRoom("good", 5000) }, wall);
+    REQUIRE(starts.at(0).life.runner == "good");
+}
+
+// Guards against a runner that is being tried out and gets more than one task.
+TEST_CASE("A runner on probation gets one task", "[placement]")
+{
+    auto store = storeWith({ makeJob("j", { makeStep(3) }) });
+    auto room = makeRoom("r", 10000);
+    room.takesOneTask = true;
+    REQUIRE(planStarts(store, { room }, wall).size() == 1);
+}
+
+// Load: a task whose run stands still and whose step allows copies.
+TEST_CASE("A copy runs beside a slow run, on another runner, behind all other tasks", "[placement]")
+{
+    auto step = makeStep(1);
+    step.isSpeculative = true;
+    auto store = storeWith({ makeJob("slow", { step }), makeJob("waits", { makeStep(1) }) });
+    auto first = makeRoom("r1", 5000);
+    store.apply(StartRun { { { "slow", 0, 0, 0 }, 1 }, first.life }, {});
+    StartHints hints;
+    hints.copies.insert({ "slow", 0, 0, 0 });
+    auto starts = planStarts(store, { makeRoom("r2", 1000) }, wall, hints);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].run.task.job == "waits");
+    starts = planStarts(store, { makeRoom("r2", 2000) }, wall, hints);
+    REQUIRE(starts.size() == 2);
+    REQUIRE(starts[1].run == RunName { { "slow", 0, 0, 0 }, 2 });
+    REQUIRE(planStarts(store, { first }, wall, hints).size() == 1);
+}
