--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -97,6 +97,7 @@
     void order(const std::string& machine, Task& task);
     void finishOrder(const std::string& machine, MachineOutcome outcome);
     void publishReserved();
+    bool isPinned(const std::string& machine) const;
     MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
     MachineLease lease() const { return { m_options.holder, m_log.term() }; }
 
@@ -121,6 +122,7 @@
     std::map<std::string, Task> m_tasks; ///< By machine.
     std::map<std::string, Millis> m_absentSince; ///< Machines of waves that are not listed.
     ArrivalRate m_arrivals;
+    std::map<std::string, Millis> m_refusedUntil; ///< Machines whose move was refused stay until then.
 };
 
 } // namespace celeryline
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -58,6 +58,7 @@
     m_machines.clear();
     m_tasks.clear();
     m_absentSince.clear();
+    m_refusedUntil.clear();
     noteEarlierOrders();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
@@ -157,8 +158,8 @@
 void MachineMaster::takeList(const std::vector<MachineInfo>& machines)
 {
     std::map<std::string, Machine> known;
-    // The first list of a term doesn't tell since when a machine has been in its pool; most came long ago, and
-    // those that an earlier leader has just moved are left alone for other reasons.
+    // The first list of a term doesn't tell since when a machine has been in its pool; most came long ago,
+    // and those that an earlier leader has just moved are left alone for other reasons.
     auto firstSeen = m_machines.empty() ? m_clock().steady - m_options.freshTime : m_clock().steady;
     for (const auto& info : machines) {
         auto found = m_machines.find(info.machine);
@@ -225,7 +226,7 @@
         machine.pool = known.info.pool;
         machine.cores = known.info.capacity.cpuMilli;
         machine.isStandby = isStandbyPool(known.info.pool);
-        machine.isPinned = !use.lasting.empty() || m_tasks.count(name) != 0 || isQuiet(name);
+        machine.isPinned = !use.lasting.empty() || isPinned(name);
         machine.isFresh = !machine.isStandby && now < known.inPoolSince + m_options.freshTime;
         machine.inUse = use.reserved.cpuMilli;
         machines.push_back(std::move(machine));
@@ -367,6 +368,13 @@
         m_tasks[move.machine] = { 0, move.pool, Stage::Emptying, m_clock().steady };
 }
 
+bool MachineMaster::isPinned(const std::string& machine) const
+{
+    auto refused = m_refusedUntil.find(machine);
+    bool isRefused = refused != m_refusedUntil.end() && m_clock().steady < refused->second;
+    return isRefused || isQuiet(machine) || m_tasks.count(machine) != 0;
+}
+
 void MachineMaster::publishReserved()
 {
     std::set<std::string> runners;
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -9,6 +9,8 @@
 constexpr Millis longestEmptying { 3000 };
 /// Until an order without an answer is sent again.
 constexpr Millis orderRetry { 700 };
+/// A pool of other machines refuses it again, so it is asked rarely.
+constexpr Millis refusalKept { 10000 };
 /// Until the new runner has reported.
 constexpr Millis arrivalMargin { 300 };
 
@@ -132,6 +134,8 @@
     bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
     if (task.wave != 0 && isOver)
         m_log.propose({ NoteUpkeep { task.wave, machine, true, {} } }, [](bool) {});
+    if (outcome == MachineOutcome::Refused && task.wave == 0)
+        m_refusedUntil[machine] = m_clock().steady + refusalKept;
     if (outcome != MachineOutcome::Done) {
         m_tasks.erase(found);
         publishReserved();
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -312,3 +312,17 @@
     kit.pass(3000);
     REQUIRE(kit.store.waves().at(5).done.count("gone") == 1);
 }
+
+// Guards against an order that the provider refuses and that is given again five times a second.
+TEST_CASE("A move that was refused is not tried again at once", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m", "pool", "r");
+    kit.pass(10000);
+    kit.addPeak();
+    kit.pass(1000);
+    REQUIRE(kit.isOrdered("m"));
+    kit.provider.answer(MachineOutcome::Refused);
+    kit.pass(3000);
+    REQUIRE_FALSE(kit.isOrdered("m"));
+}
