--- a/test/JobHistoryTest.cpp
+++ b/test/JobHistoryTest.cpp
@@ -1,4 +1,5 @@
-// Random histories over the real log, job state and JobMaster: no task runs twice, nothing accepted is lost.
+// Random histories over the real log, job state and JobMaster: no task runs twice, nothing accepted is lost,
+// no configuration goes back.
 #include "JobKit.h"
 #include "JobSimulation.h"
 
@@ -72,12 +73,20 @@
     std::int64_t now = 0;
     std::int64_t diskSafeAt = 0;
     int jobs = 0;
+    std::uint64_t version = 1;
     for (int round = 0; round < 12; ++round) {
         for (std::uint64_t i = world.below(3) + 1; i > 0; --i) {
             auto second = makeStep(static_cast<std::uint32_t>(world.below(3)) + 1);
             second.after = { 0 };
             world.submit(makeJob("job" + std::to_string(jobs++), { makeStep(2), second }));
         }
+        if (world.below(2) == 0) {
+            // Two operators at once; the versions rise in uneven steps.
+            version += 1 + world.below(3);
+            world.configure(makeConfiguration(version, 4));
+            version += 1 + world.below(3);
+            world.configure(makeConfiguration(version, 4));
+        }
         auto pause = 100 + static_cast<std::int64_t>(world.below(1500));
         world.run(pause);
         now += pause;
@@ -93,8 +102,8 @@
 
 } // namespace
 
-// Guards against a task that runs twice and against accepted jobs that are lost, under kills, lost disks,
-// freezes and cuts of replicas and runners, with lost, late and doubled reports.
+// Guards against a task that runs twice, accepted jobs that are lost and configurations that go back, under
+// kills, lost disks, freezes and cuts of replicas and runners, with lost, late and doubled reports.
 TEST_CASE("Random faults run no task twice and lose no accepted job", "[history][random]")
 {
     for (std::uint64_t seed = 1; seed <= seedCount(); ++seed) {
--- a/test/JobSimulation.h
+++ b/test/JobSimulation.h
@@ -19,7 +19,8 @@
 /// Replicas with the real log, job state and JobMaster, and runners that obey the protocol: leases on clocks
 /// that are 2% slow, one report under way at a time, answers dropped after a second. Messages are lost,
 /// delayed and doubled. Checks after every step that no task runs twice at the same time, that nothing starts
-/// again after its end was acknowledged, and that accepted jobs are never forgotten.
+/// again after its end was acknowledged, that accepted jobs are never forgotten, and that a leader's
+/// configuration is never older than an accepted one or other than what was sent under its version.
 class JobSimulation {
 public:
     /// @param seed of all random choices.
@@ -79,6 +80,8 @@
         std::function<void()> action;
     };
 
+    [[noreturn]] static void fail(const std::string& what);
+    static std::string textOf(const TaskName& task);
     void after(std::int64_t delay, std::function<void()> action);
     std::int64_t networkDelay() { return 1 + static_cast<std::int64_t>(below(4)); }
     bool isLost() { return below(100) < lossPercent; }
@@ -91,6 +94,7 @@
     void check() const;
     void checkRuns() const;
     void checkJobs() const;
+    void checkConfiguration(const JobStore& store) const;
 
     std::mt19937_64 m_random;
     std::int64_t m_now = 1000;
@@ -98,6 +102,7 @@
     std::vector<std::unique_ptr<Replica>> m_replicas;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::set<std::string> m_accepted; ///< Jobs whose acceptance was answered.
+    std::uint64_t m_acceptedVersion = 0; ///< Highest configuration whose acceptance was answered.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose good end was acknowledged to the runner.
     std::uint64_t m_startedRuns = 0;
 };
