--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -69,6 +69,10 @@
     /// @param timeout for passing it on.
     kj::Promise<ForwardedResponse> request(ForwardedRequest request, Millis timeout);
 
+    /// @param job a job that was submitted to this leader.
+    /// @return false if no machine is large enough for one of its tasks, so that it could never be done.
+    bool couldHold(const JobSpec& job) const { return !m_machines || m_machines->couldHold(job); }
+
     /// Makes further control processes known.
     /// @param addresses their RPC addresses.
     void addSeeds(const std::vector<std::string>& addresses) { m_client.addAddresses(addresses); }
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -53,6 +53,11 @@
     /// Takes notice that the state was replaced by a snapshot; its orders for machines were given before.
     void noteSnapshot();
 
+    /// @param job a job.
+    /// @return whether a machine that was listed in this term could hold each of its tasks; true while no
+    /// list has come.
+    bool couldHold(const JobSpec& job) const;
+
     /// Lets time pass. Call it every few tens of milliseconds.
     void tick();
 
@@ -119,6 +124,7 @@
     Millis m_nextBalanceLog;
     bool m_isListing = false;
     std::map<std::string, Machine> m_machines;
+    std::map<std::string, MachineInfo> m_everListed; ///< All machines that were listed in this term.
     std::map<std::string, Task> m_tasks; ///< By machine.
     std::map<std::string, Millis> m_absentSince; ///< Machines of waves that are not listed.
     ArrivalRate m_arrivals;
--- a/include/celeryline/machines/MachineProvider.h
+++ b/include/celeryline/machines/MachineProvider.h
@@ -2,7 +2,7 @@
 /// The provider of the machines that runners live on.
 #pragma once
 
-#include "celeryline/registry/Announcement.h"
+#include "celeryline/jobs/JobSpec.h"
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +26,13 @@
     std::string runner; ///< Id of the runner that lives on it; empty for none.
 };
 
+/// @param machines machines of a provider.
+/// @param job a job.
+/// @return whether each task of the job could run on some machine if it were empty.
+///
+/// Example: `if (!couldHold(machines, job)) { refuse(job); }`
+bool couldHold(const std::vector<MachineInfo>& machines, const JobSpec& job);
+
 /// The outcome of an order for a machine.
 enum class MachineOutcome : std::uint8_t {
     Done, ///< Carried out, now or earlier.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -56,6 +56,7 @@
     m_term = m_log.term();
     m_isListing = false;
     m_machines.clear();
+    m_everListed.clear();
     m_tasks.clear();
     m_absentSince.clear();
     m_refusedUntil.clear();
@@ -172,8 +173,18 @@
         known[info.machine] = std::move(machine);
     }
     m_machines = std::move(known);
-    for (const auto& info : machines)
+    for (const auto& info : machines) {
         m_absentSince.erase(info.machine);
+        m_everListed[info.machine] = info;
+    }
+}
+
+bool MachineMaster::couldHold(const JobSpec& job) const
+{
+    std::vector<MachineInfo> machines;
+    for (const auto& [name, info] : m_everListed)
+        machines.push_back(info);
+    return machines.empty() || celeryline::couldHold(machines, job);
 }
 
 std::vector<PoolDemand> MachineMaster::demands()
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -326,3 +326,27 @@
     kit.pass(3000);
     REQUIRE_FALSE(kit.isOrdered("m"));
 }
+
+// Guards against a job that is accepted and can never be done, and against one that is refused because a list
+// is missing or a machine is gone for a moment.
+TEST_CASE("A job is refused only if no listed machine could hold one of its tasks", "[machines]")
+{
+    MachineKit kit;
+    auto small = makeJob("small", { makeStep(1), makeStep(1, 4000, 8000) });
+    auto large = makeJob("large", { makeStep(1), makeStep(1, 5000, 1000) });
+    auto labelled = small;
+    labelled.steps[0].requiredLabel = "ssd";
+    REQUIRE(kit.machines.couldHold(large));
+    kit.addMachine("m", "pool", "r");
+    kit.pass(2000);
+    REQUIRE(kit.machines.couldHold(small));
+    REQUIRE_FALSE(kit.machines.couldHold(large));
+    REQUIRE_FALSE(kit.machines.couldHold(labelled));
+    kit.provider.machines.clear();
+    kit.addMachine("other", "pool", "r2");
+    kit.provider.machines[0].labels = { "ssd" };
+    kit.provider.machines[0].capacity = { 1000, 1000, 0 };
+    kit.pass(2000);
+    REQUIRE(kit.machines.couldHold(small));
+    REQUIRE(kit.machines.couldHold(labelled));
+}
