--- a/src/process/Subcommand.cpp
+++ b/src/process/Subcommand.cpp
@@ -5,6 +5,7 @@
 #include "celeryline/cli/CheckConfigCommand.h"
 #include "celeryline/cli/CliCommands.h"
 #include "celeryline/cli/CommandLine.h"
+#include "celeryline/cli/ExplainLogCommand.h"
 #include "celeryline/process/ServeCommand.h"
 
 #include <algorithm>
@@ -78,6 +79,7 @@
         { "wave", "start, pause, resume or show maintenance waves", runWave },
         { "job", "submit, show or cancel jobs", runJob },
         { "explain", "say why an instance, job or wave waits", runExplain },
+        { "explain-log", "tell from logs what became of a job, request, runner or machine", runExplainLog },
         { "status", "show the state of the system", runStatus },
         { "serve", "run an entry instance", runServe },
         { "check-config", "check a settings file and print any error", runCheckConfig },
