Empty machines for another pool while starts on other runners are being committed

A runner counted as empty only while no start at all was being committed, and in a peak starts are under way nearly all the time. Ruled out: the lease of machines, since the same instance led before; the provider, which answers at once.

A runner is now empty if it holds nothing and none of the starts under way is its own. The test fails on the earlier code.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -168,6 +168,7 @@
     RunnerTable m_runners;
     bool m_isPlanning = false; ///< Starts are proposed and not committed yet.
     bool m_mustPlan = false;
+    std::set<std::string> m_startingOn; ///< Runners of the starts that are proposed and not committed yet.
     std::vector<std::shared_ptr<PendingReport>> m_waiting; ///< Reports that wait for the plan.
     std::set<std::string> m_reserved; ///< Runners that get no further tasks.
     std::set<RunName> m_recalled; ///< Runs that are being stopped to start elsewhere.
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -31,6 +31,7 @@
 {
     m_runners.reset(m_clock().steady);
     m_isPlanning = false;
+    m_startingOn.clear();
     m_isHousekeeping = false;
     m_mustPlan = true;
     m_reserved.clear();
@@ -224,8 +225,11 @@
     if (starts.empty())
         return;
     m_isPlanning = true;
+    for (const auto& start : starts)
+        m_startingOn.insert(start.life.runner);
     m_log.propose({ starts.begin(), starts.end() }, [this, starts](bool isCommitted) {
         m_isPlanning = false;
+        m_startingOn.clear();
         for (const auto& start : starts) {
             describeRun("start", start.run)
                 .with("runner", start.life.runner)
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -17,7 +17,7 @@
 RunnerUse JobMaster::useOf(const std::string& runner) const
 {
     RunnerUse use;
-    use.isEmpty = !m_isPlanning;
+    use.isEmpty = m_startingOn.count(runner) == 0;
     for (auto it = m_store.runs().lower_bound({ runner, {} });
          it != m_store.runs().end() && it->first.runner == runner; ++it) {
         use.isEmpty = false;
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -185,10 +185,11 @@
     if (found == m_waves.end())
         return;
     found->second.begun.insert(command.machine);
-    if (command.isDone)
+    if (command.isDone) {
         found->second.done.insert(command.machine);
-    else
+    } else {
         m_machineOrders[command.machine] = command.order;
+    }
 }
 
 void JobStore::accept(const NoteMove& command, Millis) { m_machineOrders[command.machine] = command.order; }
--- a/test/JobMasterTest.cpp
+++ b/test/JobMasterTest.cpp
@@ -317,3 +317,21 @@
     REQUIRE(again.size() == 1);
     REQUIRE(again[0].run.run == 2);
 }
+
+// Load: a peak, in which starts are under way nearly all the time. Machines of other pools, which are being
+// emptied for it, must not wait for a moment without any start.
+TEST_CASE("A runner is empty while starts on other runners are being committed", "[master]")
+{
+    MasterKit kit;
+    kit.report(makeReport("busy", 1));
+    auto idle = makeReport("idle", 1);
+    idle.service = "other";
+    kit.report(idle);
+    kit.log.commitsAtOnce = false;
+    kit.master.request(SubmitJob { makeJob("a", { makeStep(2) }), kit.moment.wall }, [](RequestOutcome) {});
+    kit.log.commit();
+    kit.master.plan();
+    REQUIRE(!kit.log.proposals.empty());
+    REQUIRE_FALSE(kit.master.useOf("busy").isEmpty);
+    REQUIRE(kit.master.useOf("idle").isEmpty);
+}
