Simplify how speeds of runners are measured, and name the reopening of the log

Read-through: the speeds of runners were kept in three maps, one of them filled with zeros first; one struct for each runner now says pool, factor and steps. LogDriver::tick() did two things. ControlNode's promise of a failure has the name of what it holds.

--- a/include/celeryline/consensus/LogDriver.h
+++ b/include/celeryline/consensus/LogDriver.h
@@ -113,6 +113,7 @@
     };
 
     void open(Millis now);
+    void tryReopen(Millis now);
     void fail(const std::string& reason);
     void store(const RaftOutput& output);
     void apply(const LogEntry& entry);
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -89,7 +89,7 @@
     const std::string& leader() const { return m_log.leader(); }
 
     /// @return a promise that is broken when this process can't go on, as after damage to its data folder.
-    kj::Promise<void> untilFailed() { return kj::mv(m_failed.promise); }
+    kj::Promise<void> untilFailed() { return kj::mv(m_failure.promise); }
 
     /// @return whether a leader is known.
     bool isReady() const { return !leader().empty(); }
@@ -136,7 +136,7 @@
     std::uint64_t m_startedTerm = 0; ///< Term for which the JobMaster was started.
     std::string m_loggedLeader;
     bool m_isStorageFailed = false; ///< It is in the log that the storage failed.
-    kj::PromiseFulfillerPair<void> m_failed = kj::newPromiseAndFulfiller<void>();
+    kj::PromiseFulfillerPair<void> m_failure = kj::newPromiseAndFulfiller<void>();
     kj::TaskSet m_tasks;
     ControlServer m_server;
 };
--- a/src/consensus/LogDriver.cpp
+++ b/src/consensus/LogDriver.cpp
@@ -158,22 +158,27 @@
     m_hasWork = true;
 }
 
+void LogDriver::tryReopen(Millis now)
+{
+    if (now < m_reopenAt)
+        return;
+    m_reopenAt = now + m_options.reopenInterval;
+    try {
+        open(now);
+    } catch (const Error& e) {
+        if (e.kind() != ErrorKind::Storage)
+            throw;
+        m_failure = e.what();
+    }
+}
+
 void LogDriver::tick(Millis now)
 {
     m_lastTick = now;
-    if (!m_failure.empty()) {
-        if (now < m_reopenAt)
-            return;
-        m_reopenAt = now + m_options.reopenInterval;
-        try {
-            open(now);
-        } catch (const Error& e) {
-            if (e.kind() != ErrorKind::Storage)
-                throw;
-            m_failure = e.what();
-            return;
-        }
-    }
+    if (!m_failure.empty())
+        tryReopen(now);
+    if (!m_failure.empty())
+        return;
     m_core->tick(now);
     m_hasWork = true;
 }
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -266,7 +266,7 @@
 {
     // Each of these tasks schedules the next one, so this process would stand still.
     LOG4CXX_ERROR(logger("control"), "task failed: " << exception.getDescription().cStr());
-    m_failed.fulfiller->reject(kj::mv(exception));
+    m_failure.fulfiller->reject(kj::mv(exception));
 }
 
 } // namespace celeryline
--- a/src/jobs/RunProgress.cpp
+++ b/src/jobs/RunProgress.cpp
@@ -33,60 +33,55 @@
     return run.progress.heardAt >= run.progress.advancedAt + limits.stillAfter;
 }
 
-/// Durations of runs against the callers' estimates, by runner, pool and step.
-class Speeds {
-public:
-    explicit Speeds(const std::vector<ObservedRun>& runs)
-    {
-        std::map<RunnerLife, std::map<TaskName, std::vector<double>>> byStep;
-        for (const auto& run : runs) {
-            auto duration = projectedDuration(run.progress);
-            if (!duration || run.estimate <= Millis {})
-                continue;
-            auto factor = static_cast<double>(duration->count) / static_cast<double>(run.estimate.count);
-            byStep[run.life][stepOf(run.run)].push_back(factor);
-            m_pools[run.pool][run.life] = 0;
-        }
-        for (auto& [life, steps] : byStep) {
-            std::vector<double> factors;
-            for (auto& [step, values] : steps)
-                factors.push_back(median(values));
-            m_stepCounts[life] = factors.size();
-            m_runners[life] = median(factors);
-        }
-        for (auto& [pool, lives] : m_pools) {
-            for (auto& [life, factor] : lives)
-                factor = m_runners[life];
-        }
-    }
+/// How long runs take on a runner, against the callers' estimates.
+struct RunnerSpeed {
+    std::string pool;
+    double factor = 1; ///< Duration divided by the estimate, in the middle of the steps that run there.
+    std::size_t steps = 0; ///< Different steps that were seen.
+};
 
-    /// @return duration against the estimate on the other runners of a pool; 1 if nothing was seen there.
-    double elsewhere(const std::string& pool, const RunnerLife& life) const
-    {
-        std::vector<double> factors;
-        auto found = m_pools.find(pool);
-        if (found == m_pools.end())
-            return 1;
-        for (const auto& [other, factor] : found->second) {
-            if (other != life)
-                factors.push_back(factor);
-        }
-        return factors.empty() ? 1 : median(factors);
+using RunnerSpeeds = std::map<RunnerLife, RunnerSpeed>;
+
+RunnerSpeeds measureSpeeds(const std::vector<ObservedRun>& runs)
+{
+    RunnerSpeeds speeds;
+    std::map<RunnerLife, std::map<TaskName, std::vector<double>>> factors;
+    for (const auto& run : runs) {
+        auto duration = projectedDuration(run.progress);
+        if (!duration || run.estimate <= Millis {})
+            continue;
+        auto factor = static_cast<double>(duration->count) / static_cast<double>(run.estimate.count);
+        factors[run.life][stepOf(run.run)].push_back(factor);
+        speeds[run.life].pool = run.pool;
+    }
+    for (const auto& [life, steps] : factors) {
+        std::vector<double> ofSteps;
+        for (const auto& [step, values] : steps)
+            ofSteps.push_back(median(values));
+        speeds[life].steps = ofSteps.size();
+        speeds[life].factor = median(ofSteps);
     }
+    return speeds;
+}
 
-    bool isSlow(const std::string& pool, const RunnerLife& life, const OverdueLimits& limits) const
-    {
-        auto steps = m_stepCounts.find(life);
-        if (steps == m_stepCounts.end() || steps->second < fewestSteps)
-            return false;
-        return m_runners.at(life) >= limits.slowFactor * elsewhere(pool, life);
+/// @return the factor on the other runners of a pool; 1 if nothing was seen there.
+double factorElsewhere(const RunnerSpeeds& speeds, const std::string& pool, const RunnerLife& life)
+{
+    std::vector<double> factors;
+    for (const auto& [other, speed] : speeds) {
+        if (speed.pool == pool && other != life)
+            factors.push_back(speed.factor);
     }
+    return factors.empty() ? 1 : median(factors);
+}
 
-private:
-    std::map<std::string, std::map<RunnerLife, double>> m_pools;
-    std::map<RunnerLife, double> m_runners;
-    std::map<RunnerLife, std::size_t> m_stepCounts;
-};
+bool isSlow(const RunnerSpeeds& speeds, const RunnerLife& life, const OverdueLimits& limits)
+{
+    auto found = speeds.find(life);
+    if (found == speeds.end() || found->second.steps < fewestSteps)
+        return false;
+    return found->second.factor >= limits.slowFactor * factorElsewhere(speeds, found->second.pool, life);
+}
 
 } // namespace
 
@@ -114,7 +109,7 @@
 
 std::vector<OverdueRun> findOverdueRuns(const std::vector<ObservedRun>& runs, const OverdueLimits& limits)
 {
-    Speeds speeds(runs);
+    auto speeds = measureSpeeds(runs);
     std::vector<OverdueRun> overdue;
     for (const auto& run : runs) {
         if (standsStill(run, limits)) {
@@ -122,10 +117,10 @@
             continue;
         }
         auto duration = projectedDuration(run.progress);
-        if (!duration || !speeds.isSlow(run.pool, run.life, limits))
+        if (!duration || !isSlow(speeds, run.life, limits))
             continue;
         Millis left { duration->count * (wholeRun - run.progress.percent) / wholeRun };
-        auto expected = speeds.elsewhere(run.pool, run.life) * static_cast<double>(run.estimate.count);
+        auto expected = factorElsewhere(speeds, run.pool, run.life) * static_cast<double>(run.estimate.count);
         if (static_cast<double>(left.count) > expected)
             overdue.push_back({ run.run, run.life, OverdueCause::SlowRunner });
     }
