--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -27,6 +27,8 @@
     Millis moveTime { 1500 }; ///< From a move's order until the new runner is up.
     Millis upkeepTime { 2000 }; ///< From an upkeep's order until the new runner is up.
     Millis listInterval { 1000 };
+    /// Without an answer for so long the provider is away; machines keep their tasks meanwhile.
+    Millis providerSilence { 3000 };
     Millis planInterval { 200 };
     Millis freshTime { 3000 }; ///< A machine that has just come to its pool stays at least so long.
     PoolPlanOptions pools;
@@ -93,6 +95,7 @@
 
     void advanceTasks();
     void advance(const std::string& machine, Task& task);
+    void empty(const std::string& machine, const std::string& runner, Task& task);
     void recallLasting(const std::string& runner);
     void record(const std::string& machine);
     void noteEarlierOrders();
@@ -103,6 +106,10 @@
     void finishOrder(const std::string& machine, MachineOutcome outcome);
     void publishReserved();
     bool isPinned(const std::string& machine) const;
+    bool isProviderAway() const { return m_clock().steady >= m_answeredAt + m_options.providerSilence; }
+    void noteAnswer();
+    void noteAway();
+    void giveUp(const std::string& machine, Task& task);
     MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
     MachineLease lease() const { return { m_options.holder, m_log.term() }; }
 
@@ -128,7 +135,10 @@
     std::map<std::string, Task> m_tasks; ///< By machine.
     std::map<std::string, Millis> m_absentSince; ///< Machines of waves that are not listed.
     ArrivalRate m_arrivals;
-    std::map<std::string, Millis> m_refusedUntil; ///< Machines whose move was refused stay until then.
+    /// Machines whose move was refused, or that could not be emptied, stay until then.
+    std::map<std::string, Millis> m_stayUntil;
+    Millis m_answeredAt; ///< When the provider last answered a call of this term.
+    bool m_wasAway = false; ///< Whether the log says that the provider doesn't answer.
 };
 
 } // namespace celeryline
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -3,6 +3,7 @@
 #include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryline {
 namespace {
@@ -55,11 +56,13 @@
 {
     m_term = m_log.term();
     m_isListing = false;
+    m_answeredAt = m_clock().steady;
+    m_wasAway = false;
     m_machines.clear();
     m_kinds.clear();
     m_tasks.clear();
     m_absentSince.clear();
-    m_refusedUntil.clear();
+    m_stayUntil.clear();
     noteEarlierOrders();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
@@ -151,8 +154,10 @@
     m_nextList = m_clock().steady + m_options.listInterval;
     m_provider.list([this, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
         m_isListing = false;
-        if (machines && term == m_log.term())
-            takeList(*machines);
+        if (!machines || term != m_log.term())
+            return;
+        noteAnswer();
+        takeList(*machines);
     });
 }
 
@@ -251,11 +256,28 @@
     auto wanted = demands();
     auto machines = poolMachines();
     logBalance(wanted, machines);
-    planWaves(wanted, machines);
-    planMoves(wanted, machines);
+    if (isProviderAway()) {
+        noteAway();
+    } else {
+        planWaves(wanted, machines);
+        planMoves(wanted, machines);
+    }
     publishReserved();
 }
 
+void MachineMaster::noteAnswer()
+{
+    m_answeredAt = m_clock().steady;
+    if (std::exchange(m_wasAway, false))
+        Event("provider-found").writeAlways();
+}
+
+void MachineMaster::noteAway()
+{
+    if (!std::exchange(m_wasAway, true))
+        Event("provider-lost").with("silentMs", m_clock().steady - m_answeredAt).writeAlways();
+}
+
 void MachineMaster::logBalance(
     const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
 {
@@ -382,15 +404,18 @@
 
 bool MachineMaster::isPinned(const std::string& machine) const
 {
-    auto refused = m_refusedUntil.find(machine);
-    bool isRefused = refused != m_refusedUntil.end() && m_clock().steady < refused->second;
-    return isRefused || isQuiet(machine) || m_tasks.count(machine) != 0;
+    auto stays = m_stayUntil.find(machine);
+    bool mustStay = stays != m_stayUntil.end() && m_clock().steady < stays->second;
+    return mustStay || isQuiet(machine) || m_tasks.count(machine) != 0;
 }
 
 void MachineMaster::publishReserved()
 {
     std::set<std::string> runners;
+    bool isAway = isProviderAway();
     for (const auto& [name, task] : m_tasks) {
+        if (isAway && task.stage == Stage::Emptying)
+            continue; // Nobody would take the order for the empty machine.
         auto known = m_machines.find(name);
         if (known != m_machines.end() && !known->second.info.runner.empty())
             runners.insert(known->second.info.runner);
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -11,6 +11,8 @@
 constexpr Millis orderRetry { 700 };
 /// A pool of other machines refuses it again, so it is asked rarely.
 constexpr Millis refusalKept { 10000 };
+/// What keeps a machine from being emptied mostly lasts; its room serves the tasks that wait meanwhile.
+constexpr Millis pauseAfterEmptying { 5000 };
 /// Until the new runner has reported.
 constexpr Millis arrivalMargin { 300 };
 
@@ -53,17 +55,11 @@
         return;
     auto runner = known->second.info.runner;
     if (task.stage == Stage::Emptying) {
-        if (!m_jobs.useOf(runner).isEmpty) {
-            if (task.wave == 0 && now >= task.since + longestEmptying) {
-                m_tasks.erase(machine);
-                publishReserved();
-            } else {
-                recallLasting(runner);
-            }
-            return;
-        }
-        if (!isQuiet(machine))
-            record(machine);
+        empty(machine, runner, task);
+    } else if (task.stage == Stage::Ordered && isProviderAway()) {
+        // The last order may still be carried out until the time of a call has passed.
+        if (now >= task.since + m_options.orderTime)
+            giveUp(machine, task);
     } else if (task.stage == Stage::Ordered && now >= task.since + orderRetry) {
         record(machine);
     } else if (task.stage == Stage::Away) {
@@ -75,6 +71,35 @@
     }
 }
 
+void MachineMaster::empty(const std::string& machine, const std::string& runner, Task& task)
+{
+    if (isProviderAway()) {
+        giveUp(machine, task);
+        return;
+    }
+    if (m_jobs.useOf(runner).isEmpty) {
+        if (!isQuiet(machine))
+            record(machine);
+        return;
+    }
+    if (task.wave == 0 && m_clock().steady >= task.since + longestEmptying) {
+        giveUp(machine, task);
+    } else {
+        recallLasting(runner);
+    }
+}
+
+void MachineMaster::giveUp(const std::string& machine, Task& task)
+{
+    if (task.wave != 0) {
+        task.stage = Stage::Emptying; // The wave needs it; it begins anew when the provider is back.
+    } else {
+        m_stayUntil[machine] = m_clock().steady + pauseAfterEmptying;
+        m_tasks.erase(machine);
+    }
+    publishReserved();
+}
+
 void MachineMaster::recallLasting(const std::string& runner)
 {
     for (const auto& run : m_jobs.useOf(runner).lasting)
@@ -131,11 +156,12 @@
         .writeAlways();
     if (outcome == MachineOutcome::Throttled || outcome == MachineOutcome::Unknown)
         return; // It is sent again.
+    noteAnswer();
     bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
     if (task.wave != 0 && isOver)
         m_log.propose({ NoteUpkeep { task.wave, machine, true, {} } }, [](bool) {});
     if (outcome == MachineOutcome::Refused && task.wave == 0)
-        m_refusedUntil[machine] = m_clock().steady + refusalKept;
+        m_stayUntil[machine] = m_clock().steady + refusalKept;
     if (outcome != MachineOutcome::Done) {
         m_tasks.erase(found);
         publishReserved();
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -22,7 +22,14 @@
         OrderCallback done;
     };
 
-    void list(ListCallback done) override { done(machines); }
+    void list(ListCallback done) override
+    {
+        if (isAway) {
+            done(std::nullopt);
+        } else {
+            done(machines);
+        }
+    }
 
     void move(const std::string& machine, const std::string& pool, const MachineLease& lease,
         OrderCallback done) override
@@ -46,6 +53,7 @@
 
     std::vector<MachineInfo> machines;
     std::vector<Order> orders;
+    bool isAway = false; ///< It answers no call.
 };
 
 struct MachineKit : MasterKit {
@@ -98,6 +106,20 @@
         machines.noteCommitted(note);
     }
 
+    /// Lets time pass while an idle runner reports.
+    /// @return orders for it that start something.
+    std::vector<StartOrder> passReporting(const std::string& runner, std::int64_t milliseconds)
+    {
+        std::vector<StartOrder> starts;
+        constexpr std::int64_t interval = 250;
+        for (std::int64_t i = 0; i < milliseconds && starts.empty(); i += interval) {
+            pass(interval);
+            if (auto orders = report(makeReport(runner, ++sequence)))
+                starts = orders->starts;
+        }
+        return starts;
+    }
+
     bool isOrdered(const std::string& machine) const
     {
         return std::any_of(provider.orders.begin(), provider.orders.end(),
@@ -106,6 +128,7 @@
 
     ManualProvider provider;
     MachineMaster machines;
+    std::uint64_t sequence = 0; ///< Of the reports of passReporting().
 };
 
 } // namespace
@@ -327,6 +350,100 @@
     REQUIRE_FALSE(kit.isOrdered("m"));
 }
 
+// Guards against room that is withheld from waiting tasks as long as the provider of machines doesn't answer
+// the order for the machine.
+TEST_CASE("A machine whose move has no answer gives its room back", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m", "pool", "r");
+    kit.passReporting("r", 4000);
+    kit.addPeak();
+    kit.passReporting("r", 1000);
+    REQUIRE(kit.isOrdered("m"));
+    kit.provider.isAway = true;
+    kit.submit(makeJob("a", { makeStep(1) }));
+    auto starts = kit.passReporting("r", 7000);
+    REQUIRE(starts.size() == 1);
+}
+
+// Guards against the same for upkeep, which must go on when the provider is back.
+TEST_CASE("A machine whose upkeep has no answer gives its room back meanwhile", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m", "pool", "r");
+    kit.passReporting("r", 4000);
+    kit.master.request(StartWave { 5, { "m" }, { 60000 }, 1, kit.moment.wall }, [](RequestOutcome) {});
+    kit.passReporting("r", 1000);
+    REQUIRE(kit.isOrdered("m"));
+    kit.provider.isAway = true;
+    kit.submit(makeJob("a", { makeStep(1) }));
+    auto starts = kit.passReporting("r", 7000);
+    REQUIRE(starts.size() == 1);
+    kit.provider.isAway = false;
+    kit.provider.orders.clear();
+    auto ends = makeReport("r", ++kit.sequence);
+    ends.ended.push_back(ended(1, starts[0], RunEnd::Done));
+    kit.report(ends);
+    kit.passReporting("r", 3000);
+    REQUIRE(kit.isOrdered("m"));
+}
+
+// Guards against machines that are emptied for orders which nobody takes.
+TEST_CASE("No machine is emptied while the provider doesn't answer", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m", "pool", "r");
+    kit.passReporting("r", 4000);
+    kit.provider.isAway = true;
+    kit.passReporting("r", 4000);
+    kit.addPeak();
+    kit.passReporting("r", 500);
+    kit.submit(makeJob("a", { makeStep(1) }));
+    REQUIRE(kit.passReporting("r", 1000).size() == 1);
+    REQUIRE(kit.provider.orders.empty());
+}
+
+// Guards against a machine that is chosen again at once after it could not be emptied, so that its room is
+// withheld nearly all the time.
+TEST_CASE("A machine that could not be emptied is left alone for a while", "[machines]")
+{
+    MachineKit kit;
+    kit.addMachine("m", "pool", "r");
+    kit.addMachine("refused", "pool", "other");
+    kit.passReporting("r", 4000);
+    // Jobs that are late beyond use don't keep their pool from giving its machines away.
+    auto submitExpired = [&](const char* id) {
+        Millis longAgo { kit.moment.wall.count - 60000 };
+        kit.master.request(SubmitJob { makeJob(id, { makeStep(1) }), longAgo }, [](RequestOutcome) {});
+        kit.master.tick();
+    };
+    submitExpired("stays");
+    auto stays = kit.report(makeReport("r", ++kit.sequence))->starts.at(0);
+    kit.addPeak();
+    std::size_t starts = 0;
+    auto pass = [&](std::int64_t milliseconds) {
+        constexpr std::int64_t interval = 250;
+        for (std::int64_t i = 0; i < milliseconds; i += interval) {
+            kit.pass(interval);
+            auto busy = makeReport("r", ++kit.sequence);
+            busy.running.push_back(running(stays));
+            starts = kit.report(busy)->starts.size();
+        }
+    };
+    pass(500);
+    REQUIRE(kit.isOrdered("refused"));
+    kit.provider.answer(MachineOutcome::Refused);
+    pass(1000);
+    submitExpired("waits");
+    pass(500);
+    REQUIRE(starts == 0); // It is being emptied.
+    pass(2500);
+    REQUIRE(starts == 1);
+    submitExpired("next");
+    pass(500);
+    REQUIRE(starts == 2);
+}
+
 // Guards against a job that is accepted and can never be done, and against one that is refused because a list
 // is missing or a machine is gone for a moment.
 TEST_CASE("A job is refused only if no listed machine could hold one of its tasks", "[machines]")
