--- a/include/celeryline/jobs/JobState.h
+++ b/include/celeryline/jobs/JobState.h
@@ -67,7 +67,8 @@
     bool isLongRunning = false;
     Millis latestStart; ///< See JobState.
     JobId id;
-    std::int64_t leastCpuMilli = 0; ///< What its smallest waiting task reserves; not part of the order.
+    /// The smallest reservation of its waiting tasks, for each resource by itself; not part of the order.
+    Resources least {};
 };
 
 /// Long-running jobs first, then those that must start first.
@@ -108,8 +109,9 @@
 bool isStepReady(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps, std::size_t step);
 
 /// @param job a job.
-/// @return what the smallest of its tasks reserves that wait and whose turn has come; nothing without one.
-std::optional<std::int64_t> leastStartableCpu(const JobState& job);
+/// @return the smallest reservation of its tasks that wait and whose turn has come, for each resource by
+/// itself; nothing without such a task.
+std::optional<Resources> leastStartable(const JobState& job);
 
 /// @param job a job.
 /// @return whether its tasks run until it is cancelled.
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -47,8 +47,8 @@
 /// Chooses starts for tasks whose turn has come. Long-running jobs come first, then those that can still meet
 /// their objective, by priority and by the time at which they must start. Work that can't meet its objective
 /// any more earns little: late jobs get what is left, those first that have been late for the shortest time,
-/// since their results may still be of use. A bounded number of jobs that find no room is looked at, so that
-/// a backlog doesn't slow down the leader.
+/// since their results may still be of use. A bounded number of jobs of a queue that find no room is looked
+/// at, so that a backlog doesn't slow down the leader.
 ///
 /// Each task is placed on the runner where it fits closest, so that large gaps stay for large tasks. The
 /// members of a gang start all together or not at all. A step whose tasks should share a rack goes to the
--- a/src/jobs/JobStoreIndexes.cpp
+++ b/src/jobs/JobStoreIndexes.cpp
@@ -4,10 +4,19 @@
 #include <algorithm>
 
 namespace celeryline {
+namespace {
 
-std::optional<std::int64_t> leastStartableCpu(const JobState& job)
+Resources smallerOf(const Resources& a, const Resources& b)
 {
-    std::optional<std::int64_t> least;
+    return { std::min(a.cpuMilli, b.cpuMilli), std::min(a.memoryMb, b.memoryMb),
+        std::min(a.accelerators, b.accelerators) };
+}
+
+} // namespace
+
+std::optional<Resources> leastStartable(const JobState& job)
+{
+    std::optional<Resources> least;
     if (job.phase != JobPhase::Open)
         return least;
     for (const auto& [occurrence, steps] : job.occurrences) {
@@ -15,8 +24,8 @@
             if (steps[i].done + steps[i].active >= steps[i].tasks.size()
                 || !isStepReady(job.spec.steps, steps, i))
                 continue;
-            auto cpu = reservedBy(job.spec.steps[i]).cpuMilli;
-            least = std::min(cpu, least.value_or(cpu));
+            auto reserved = reservedBy(job.spec.steps[i]);
+            least = least ? smallerOf(*least, reserved) : reserved;
         }
     }
     return least;
@@ -48,11 +57,11 @@
 void JobStore::noteStartable(JobState& job)
 {
     removeStartable(job);
-    auto cpu = leastStartableCpu(job);
-    if (!cpu)
+    auto least = leastStartable(job);
+    if (!least)
         return;
     job.latestStart = dueTime(job) + job.objective - job.remaining;
-    m_startableJobs[job.spec.queue].insert({ isLongRunning(job), job.latestStart, job.spec.id, *cpu });
+    m_startableJobs[job.spec.queue].insert({ isLongRunning(job), job.latestStart, job.spec.id, *least });
 }
 
 void JobStore::removeStartable(const JobState& job)
@@ -60,7 +69,7 @@
     auto found = m_startableJobs.find(job.spec.queue);
     if (found == m_startableJobs.end())
         return;
-    found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id, 0 });
+    found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id, {} });
     if (found->second.empty())
         m_startableJobs.erase(found);
 }
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -13,7 +13,8 @@
 constexpr std::int64_t usefulObjectives = 3;
 /// How long a task waits for room on a runner where it didn't fail; most tasks end sooner and leave theirs.
 constexpr Millis waitAfterFailure { 2000 };
-/// So many jobs of a pool may find no room before the plan passes over the pool's other jobs.
+/// So many jobs of a queue may find no room before the plan passes over the queue's other jobs. Those that
+/// need as much as a task that has just found none are not searched for, and don't count.
 constexpr int longestSearch = 256;
 
 bool fits(const Resources& demand, const Resources& free)
@@ -22,6 +23,28 @@
         && demand.accelerators <= free.accelerators;
 }
 
+/// The smallest reservations that found no room in a plan. Room only shrinks in the course of a plan, so what
+/// needs as much finds none either.
+class RoomLimits {
+public:
+    bool excludes(const Resources& demand) const
+    {
+        return std::any_of(
+            m_limits.begin(), m_limits.end(), [&](const Resources& limit) { return fits(limit, demand); });
+    }
+
+    void add(const Resources& demand)
+    {
+        m_limits.erase(std::remove_if(m_limits.begin(), m_limits.end(),
+                           [&](const Resources& limit) { return fits(demand, limit); }),
+            m_limits.end());
+        m_limits.push_back(demand);
+    }
+
+private:
+    std::vector<Resources> m_limits; ///< None of them is as large as another one in all resources.
+};
+
 bool hasLabel(const RunnerRoom& room, const std::string& label)
 {
     return std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
@@ -105,11 +128,21 @@
     {
     }
 
+    /// @param least the smallest reservation of a job, for each resource by itself.
+    /// @return whether it is known that nothing of the job could start.
+    bool isExcluded(const std::string& service, const Resources& least) const
+    {
+        const auto& pool = m_rooms.pool(service);
+        if (pool.lower_bound(least.cpuMilli) == pool.end())
+            return true;
+        auto limits = m_limits.find(service);
+        return limits != m_limits.end() && limits->second.excludes(least);
+    }
+
     /// Starts what it can of a job.
     /// @return whether something of it could start.
     bool placeJob(const JobState& job, const QueueSettings& queue)
     {
-        const auto& pool = m_rooms.pool(queue.service);
         if (queue.needsAdvice && !m_isAdvised)
             return false;
         m_needsAdvice = queue.needsAdvice;
@@ -118,11 +151,11 @@
             for (std::size_t i = 0; i < steps.size(); ++i) {
                 const auto& spec = job.spec.steps[i];
                 bool hasWaiting = steps[i].done + steps[i].active < steps[i].tasks.size();
-                if (!hasWaiting || pool.lower_bound(reservedBy(spec).cpuMilli) == pool.end())
+                if (!hasWaiting || isExcluded(queue.service, reservedBy(spec)))
                     continue;
                 if (isStepReady(job.spec.steps, steps, i)) {
                     TaskName first { job.spec.id, occurrence, static_cast<std::uint32_t>(i), 0 };
-                    placeStep(spec, steps[i], first, pool);
+                    placeStep(spec, steps[i], first, queue.service);
                 }
             }
         }
@@ -157,8 +190,16 @@
     std::vector<StartRun> takeStarts() { return std::move(m_starts); }
 
 private:
-    void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const RoomPool& pool)
+    /// @return whether each runner of the pool with enough room may take a task of the step.
+    bool needsOnlyRoom(const StepSpec& spec, const TaskName& name) const
     {
+        return spec.requiredLabel.empty() && spec.maxPerRunner == 0 && !m_needsAdvice
+            && m_hints.failedOn.count(name) == 0;
+    }
+
+    void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service)
+    {
+        const auto& pool = m_rooms.pool(service);
         // A gang starts again only when all members of the earlier start are gone.
         if (spec.isGang && step.active > 0)
             return;
@@ -190,6 +231,8 @@
                     m_rooms.restore(*before);
                 return;
             } else if (m_hints.failedOn.count(name) == 0) {
+                if (needsOnlyRoom(spec, name))
+                    m_limits[service].add(reservedBy(spec));
                 return; // The other tasks of the step need as much room.
             }
         }
@@ -258,6 +301,7 @@
     RoomIndex& m_rooms;
     const StartHints& m_hints;
     const AdviceCheck& m_isAdvised;
+    std::map<std::string, RoomLimits> m_limits; ///< By pool.
     std::string m_rack; ///< For the step that is being placed; empty if any will do.
     bool m_needsAdvice = false; ///< Of the queue whose job is being placed.
     std::vector<StartRun> m_starts;
@@ -278,7 +322,6 @@
 public:
     JobOrder(const JobStore& store, const RoomIndex& rooms, Planner& planner)
         : m_store(store)
-        , m_rooms(rooms)
         , m_planner(planner)
     {
         for (const auto& [key, jobs] : store.startableJobs()) {
@@ -291,10 +334,10 @@
     void placeAll(Millis wallNow)
     {
         for (auto& range : m_queues)
-            range.end = range.jobs->lower_bound({ false, lowest, {}, 0 });
+            range.end = range.jobs->lower_bound({ false, lowest, {}, {} });
         placeRanges();
         for (auto& range : m_queues) {
-            range.next = range.jobs->lower_bound({ false, wallNow, {}, 0 });
+            range.next = range.jobs->lower_bound({ false, wallNow, {}, {} });
             range.end = range.jobs->end();
         }
         placeRanges();
@@ -309,15 +352,15 @@
         return std::make_tuple(a.queue->priority, *a.next) < std::make_tuple(b.queue->priority, *b.next);
     }
 
-    /// @return whether the pool's other jobs are still looked at.
+    /// @return whether the queue's other jobs are still looked at.
     bool place(const QueueRange& range, const StartableJob& startable)
     {
-        auto& misses = m_misses[range.queue->service];
+        auto& misses = m_misses[range.queue->key];
         if (misses >= longestSearch)
             return false;
-        const auto& pool = m_rooms.pool(range.queue->service);
-        if (pool.lower_bound(startable.leastCpuMilli) == pool.end())
-            return true; // Known without a look at the job, so that a long backlog costs little.
+        // Known without a look at the job, so that a long backlog costs little.
+        if (m_planner.isExcluded(range.queue->service, startable.least))
+            return true;
         if (!m_planner.placeJob(*m_store.findJob(startable.id), *range.queue))
             ++misses;
         return true;
@@ -346,8 +389,8 @@
         std::stable_sort(byPriority.begin(), byPriority.end(),
             [](const QueueRange* a, const QueueRange* b) { return a->queue->priority < b->queue->priority; });
         for (const auto* range : byPriority) {
-            auto begin = range->jobs->lower_bound({ false, lowest, {}, 0 });
-            auto late = range->jobs->lower_bound({ false, wallNow, {}, 0 });
+            auto begin = range->jobs->lower_bound({ false, lowest, {}, {} });
+            auto late = range->jobs->lower_bound({ false, wallNow, {}, {} });
             while (late != begin) {
                 if (!place(*range, *--late))
                     break;
@@ -356,10 +399,9 @@
     }
 
     const JobStore& m_store;
-    const RoomIndex& m_rooms;
     Planner& m_planner;
     std::vector<QueueRange> m_queues;
-    std::map<std::string, int> m_misses; ///< Jobs that found no room, by pool.
+    std::map<std::string, int> m_misses; ///< Jobs that found no room, by queue.
 };
 
 } // namespace
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -341,3 +341,42 @@
     REQUIRE(starts.size() == 1);
     REQUIRE(starts[0].run.task.job == "small");
 }
+
+// Load: hundreds of late jobs whose tasks need more memory than any runner has left, with processor time to
+// spare, and an older job that fits.
+TEST_CASE("A small job starts behind a backlog of jobs that need much memory", "[placement]")
+{
+    JobStore store;
+    store.apply(AcceptConfiguration { makeConfiguration() }, {});
+    for (int i = 0; i < 300; ++i) {
+        auto large = makeJob("large-" + std::to_string(i), { makeStep(4, 1000, 20000 + i) });
+        store.apply(SubmitJob { large, { wall.count - 5000 } }, {});
+    }
+    store.apply(SubmitJob { makeJob("small", { makeStep(1) }), { wall.count - 9000 } }, {});
+    auto room = makeRoom("r", 8000);
+    room.free.memoryMb = 16000;
+    auto starts = planStarts(store, { room }, wall);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].run.task.job == "small");
+}
+
+// Guards against a queue that starves because hundreds of jobs of another queue of its pool wait for advice.
+TEST_CASE("Jobs that wait for advice don't hold up another queue of their pool", "[placement]")
+{
+    auto configuration = makeConfiguration();
+    auto advised = configuration.queues.front();
+    advised.key = "host/advised/";
+    advised.needsAdvice = true;
+    configuration.queues.push_back(advised);
+    JobStore store;
+    store.apply(AcceptConfiguration { configuration }, {});
+    for (int i = 0; i < 300; ++i) {
+        auto job = makeJob("advised-" + std::to_string(i), { makeStep(1) });
+        job.queue = advised.key;
+        store.apply(SubmitJob { job, { wall.count - 1000 } }, {});
+    }
+    store.apply(SubmitJob { makeJob("plain", { makeStep(1) }), wall }, {});
+    auto starts = planStarts(store, { makeRoom("r", 8000) }, wall);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].run.task.job == "plain");
+}
