--- a/include/celeryline/jobs/AdviceBook.h
+++ b/include/celeryline/jobs/AdviceBook.h
@@ -4,7 +4,9 @@
 
 #include "celeryline/jobs/PlacementAdvisor.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace celeryline {
@@ -19,6 +21,10 @@
     /// @return whether the service should be asked now.
     bool mustAsk(const TaskName& step, Millis now) const;
 
+    /// @param step any task of the step.
+    /// @return steady time at which the service was last asked; nothing if it wasn't.
+    std::optional<Millis> askedAt(const TaskName& step) const;
+
     /// Notes that the service is being asked.
     void noteAsked(const TaskName& step, Millis now);
 
@@ -30,12 +36,14 @@
     /// @return the ticket with which a runner may run the step; null without a valid one.
     const std::string* ticket(const TaskName& step, const std::string& runner, Millis now) const;
 
-    /// Drops what is not valid any more.
-    void forgetOld(Millis now);
+    /// Drops steps that nobody asks for any more.
+    /// @param isOver says of a task of a step whether the step is over.
+    void forgetEnded(const std::function<bool(const TaskName&)>& isOver);
 
 private:
     struct Entry {
         PlacementAdvice advice;
+        Millis askedAt;
         Millis validUntil;
         Millis askAgainAt;
         bool isAsking = false;
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -153,6 +153,13 @@
         Millis answerBy {}; ///< Steady time; of an idle runner's report.
     };
 
+    /// A step for which the advice service should be asked.
+    struct AdviceCall {
+        TaskName step;
+        std::string service; ///< The step's pool.
+        std::optional<Millis> askedAt; ///< When it was last asked for.
+    };
+
     std::vector<JobCommand> endsOf(const RunnerReport& report) const;
     void takeEnds(const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending);
     Resources reservedOn(const RunnerLife& life) const;
@@ -173,7 +180,8 @@
     bool isAtWork(const TaskName& task, const TaskState& state) const;
     bool mayRecall(const RunName& run) const;
     void askForAdvice();
-    void askFor(const TaskName& step, const std::string& service);
+    std::vector<AdviceCall> adviceCalls() const;
+    void askFor(const AdviceCall& call);
     void paceFillers(const RunnerReport& report, RunnerOrders& orders);
     ServingTail tailOf(const RunnerReport& report) const;
     void noteEnds(const std::vector<JobCommand>& commands, const RunnerLife& life);
--- a/src/jobs/AdviceBook.cpp
+++ b/src/jobs/AdviceBook.cpp
@@ -15,10 +15,17 @@
     return found == m_steps.end() || (!found->second.isAsking && now >= found->second.askAgainAt);
 }
 
+std::optional<Millis> AdviceBook::askedAt(const TaskName& step) const
+{
+    auto found = m_steps.find(keyOf(step));
+    return found == m_steps.end() ? std::nullopt : std::optional<Millis>(found->second.askedAt);
+}
+
 void AdviceBook::noteAsked(const TaskName& step, Millis now)
 {
     auto& entry = m_steps[keyOf(step)];
     entry.isAsking = true;
+    entry.askedAt = now;
     entry.askAgainAt = now;
 }
 
@@ -45,12 +52,12 @@
     return ticket == found->second.advice.tickets.end() ? nullptr : &ticket->second;
 }
 
-void AdviceBook::forgetOld(Millis now)
+void AdviceBook::forgetEnded(const std::function<bool(const TaskName&)>& isOver)
 {
-    constexpr Millis keptAfterEnd { 10000 };
     for (auto it = m_steps.begin(); it != m_steps.end();) {
-        bool isOld = !it->second.isAsking && now > it->second.askAgainAt + keptAfterEnd;
-        it = isOld ? m_steps.erase(it) : std::next(it);
+        const auto& [job, occurrence, step] = it->first;
+        bool isUnused = !it->second.isAsking && isOver({ job, occurrence, step, 0 });
+        it = isUnused ? m_steps.erase(it) : std::next(it);
     }
 }
 
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -73,7 +73,6 @@
     m_mustRefreshRooms = true;
     m_mustPlan = true;
     m_runners.forgetSilent(now);
-    m_advice.forgetOld(now);
     m_trust.refresh(now);
     dropOldNotes();
     replaceOverdueRuns();
--- a/src/jobs/JobMasterHealth.cpp
+++ b/src/jobs/JobMasterHealth.cpp
@@ -118,6 +118,10 @@
         const auto* task = m_store.findTask(name);
         return task == nullptr || task->isDone;
     };
+    m_advice.forgetEnded([this](const TaskName& name) {
+        const auto* job = m_store.findJob(name.job);
+        return job == nullptr || job->occurrences.count(name.occurrence) == 0;
+    });
     for (auto it = m_hints.copies.begin(); it != m_hints.copies.end();)
         it = isOver(*it) ? m_hints.copies.erase(it) : std::next(it);
     for (auto it = m_hints.failedOn.begin(); it != m_hints.failedOn.end();)
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -87,8 +87,24 @@
 {
     const auto& queues = m_store.configuration().queues;
     auto needsAdvice = [](const QueueSettings& queue) { return queue.needsAdvice; };
-    if (m_advisor == nullptr || std::none_of(queues.begin(), queues.end(), needsAdvice))
+    if (m_advisor == nullptr || m_asking >= mostAdviceCalls
+        || std::none_of(queues.begin(), queues.end(), needsAdvice))
         return;
+    auto calls = adviceCalls();
+    // Those first that were never asked for or whose turn is longest ago, so that no job waits for ever.
+    std::stable_sort(calls.begin(), calls.end(),
+        [](const AdviceCall& a, const AdviceCall& b) { return a.askedAt < b.askedAt; });
+    for (const auto& call : calls) {
+        if (m_asking >= mostAdviceCalls)
+            return;
+        askFor(call);
+    }
+}
+
+std::vector<JobMaster::AdviceCall> JobMaster::adviceCalls() const
+{
+    std::vector<AdviceCall> calls;
+    auto now = m_clock().steady;
     for (const auto& id : m_store.openJobs()) {
         const auto& job = *m_store.findJob(id);
         const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
@@ -97,29 +113,30 @@
         for (const auto& [occurrence, steps] : job.occurrences) {
             for (std::size_t i = 0; i < steps.size(); ++i) {
                 // The next steps are asked for ahead of need, while their predecessors run.
-                if (steps[i].done + steps[i].active < steps[i].tasks.size())
-                    askFor({ id, occurrence, static_cast<std::uint32_t>(i), 0 }, queue->service);
+                TaskName step { id, occurrence, static_cast<std::uint32_t>(i), 0 };
+                if (steps[i].done + steps[i].active < steps[i].tasks.size() && m_advice.mustAsk(step, now))
+                    calls.push_back({ step, queue->service, m_advice.askedAt(step) });
             }
         }
     }
+    return calls;
 }
 
-void JobMaster::askFor(const TaskName& step, const std::string& service)
+void JobMaster::askFor(const AdviceCall& call)
 {
-    auto now = m_clock().steady;
-    if (m_asking >= mostAdviceCalls || !m_advice.mustAsk(step, now))
-        return;
     std::vector<std::string> runners;
-    for (const auto* room : m_rooms.pool(service)) {
+    const auto& pool = m_rooms.pool(call.service);
+    for (auto room = pool.rbegin(); room != pool.rend(); ++room) {
         if (runners.size() < PlacementAdvisor::mostRunners)
-            runners.push_back(room->life.runner);
+            runners.push_back((*room)->life.runner);
     }
     if (runners.empty())
         return;
-    m_advice.noteAsked(step, now);
+    auto now = m_clock().steady;
+    m_advice.noteAsked(call.step, now);
     ++m_asking;
-    m_advisor->ask(
-        step, runners, [this, step, now, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
+    m_advisor->ask(call.step, runners,
+        [this, step = call.step, now, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
             if (term != m_log.term())
                 return;
             --m_asking;
--- a/test/AdviceBookTest.cpp
+++ b/test/AdviceBookTest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+#include <utility>
+
 using namespace celeryline;
 using namespace celeryline::test;
 
@@ -77,3 +80,78 @@
     REQUIRE(orders->starts.at(0).ticket == "ticket");
     REQUIRE(advisor.calls == 1);
 }
+
+namespace {
+
+/// An advisor that approves no runner, and answers when it is told to.
+class RefusingAdvisor final : public PlacementAdvisor {
+public:
+    void ask(const TaskName& step, const std::vector<std::string>& runners, Callback done) override
+    {
+        asked.push_back(step.job.text());
+        lastRunners = runners;
+        m_calls.push_back(std::move(done));
+    }
+
+    void answerAll()
+    {
+        for (auto& done : std::exchange(m_calls, {}))
+            done(PlacementAdvice { {}, { 1000 } });
+    }
+
+    std::vector<std::string> asked; ///< Jobs, in the order of the calls.
+    std::vector<std::string> lastRunners;
+
+private:
+    std::vector<Callback> m_calls;
+};
+
+void requireAdvice(MasterKit& kit)
+{
+    auto configuration = makeConfiguration(2);
+    configuration.queues.front().needsAdvice = true;
+    kit.store.apply(AcceptConfiguration { configuration }, {});
+}
+
+} // namespace
+
+// Guards against jobs that are never asked for, because those with smaller ids ask again first each time that
+// their advice is out of date.
+TEST_CASE("Each waiting job gets its turn at the advice service", "[advice]")
+{
+    MasterKit kit;
+    requireAdvice(kit);
+    RefusingAdvisor advisor;
+    kit.master.setAdvisor(advisor);
+    std::uint64_t sequence = 0;
+    kit.report(makeReport("r", ++sequence));
+    constexpr int jobs = 40;
+    for (int i = 0; i < jobs; ++i)
+        kit.submit(makeJob("job" + std::to_string(i), { makeStep(1) }));
+    // Each call takes so long that only some of the jobs are asked for while an answer is valid.
+    for (int i = 0; i < jobs; ++i) {
+        kit.advance({ 500 });
+        kit.report(makeReport("r", ++sequence));
+        advisor.answerAll();
+    }
+    std::set<std::string> asked(advisor.asked.begin(), advisor.asked.end());
+    REQUIRE(asked.size() == jobs);
+}
+
+// Guards against a service that is asked only for full runners of a pool that is larger than one call.
+TEST_CASE("The advice service is asked for the runners with the most room", "[advice]")
+{
+    MasterKit kit;
+    requireAdvice(kit);
+    RefusingAdvisor advisor;
+    kit.master.setAdvisor(advisor);
+    for (std::size_t i = 0; i < PlacementAdvisor::mostRunners; ++i) {
+        auto report = makeReport("small" + std::to_string(i), 1);
+        report.capacity.cpuMilli = 500;
+        kit.report(report);
+    }
+    kit.report(makeReport("large", 1));
+    kit.submit(makeJob("a", { makeStep(1) }));
+    REQUIRE(advisor.lastRunners.size() == PlacementAdvisor::mostRunners);
+    REQUIRE(advisor.lastRunners.front() == "large");
+}
