--- a/include/celeryline/jobs/JobEvents.h
+++ b/include/celeryline/jobs/JobEvents.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "celeryline/jobs/JobStore.h"
+#include "celeryline/jobs/WaitReport.h"
 #include "celeryline/settings/EventLog.h"
 
 #include <string>
@@ -19,6 +20,10 @@
 /// @return an event with what it asks for.
 Event describeCommand(const JobCommand& command);
 
+/// @param wait a job that waits.
+/// @return an event with its first waiting task and the number of runners for each reason.
+Event describeWait(const PoolWait& wait);
+
 /// Logs runs that ended, and the jobs that ended with them.
 /// @param store state after the commands.
 /// @param commands committed commands.
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -8,6 +8,7 @@
 #include "celeryline/jobs/RunnerTable.h"
 #include "celeryline/jobs/RunnerTrust.h"
 #include "celeryline/jobs/StartPlan.h"
+#include "celeryline/jobs/WaitReport.h"
 
 #include <deque>
 #include <functional>
@@ -143,6 +144,14 @@
     /// @param runner id of the runner.
     void endRunner(const std::string& runner);
 
+    /// @return the oldest waiting job of each pool, as of the last check, which is made each second; of no
+    /// use while this instance doesn't lead.
+    const std::vector<PoolWait>& waits() const { return m_waits; }
+
+    /// @return the longest time that such a job has waited while this instance leads; 0 if none waits or
+    /// this instance doesn't lead.
+    Millis oldestWait() const;
+
 private:
     /// A report that has no answer yet. Its contents are those of the runner's state in the table.
     struct PendingReport {
@@ -156,8 +165,12 @@
     std::vector<JobCommand> endsOf(const RunnerReport& report) const;
     void takeEnds(const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending);
     Resources reservedOn(const RunnerLife& life) const;
-    std::optional<RunnerRoom> roomOf(const std::string& runner, const RunnerState& state) const;
+    WaitReason refusalOf(const std::string& runner, const RunnerState& state) const;
+    RunnerRoom roomOf(const RunnerState& state) const;
+    AdviceCheck adviceCheck(Millis now) const;
     void refreshRooms();
+    void checkWaits();
+    void noteWaits(Millis now);
     void answerAfterPlan(const std::shared_ptr<PendingReport>& pending);
     void answerWaiting();
     void answerIdle(const std::string& runner);
@@ -207,6 +220,9 @@
     std::set<RunName> m_overdue; ///< Runs that are being replaced because they hardly go on.
     RunnerTrust m_trust;
     StartHints m_hints;
+    std::vector<PoolWait> m_waits; ///< As of the last check.
+    std::map<TaskName, Millis> m_waitingSince; ///< Steady time at which a step was first in m_waits.
+    Millis m_nextWaitCheck;
     PlacementAdvisor* m_advisor = nullptr; ///< Null if there is no such service.
     AdviceBook m_advice;
     std::size_t m_asking = 0; ///< Calls to the advisor that have no answer yet.
--- a/src/jobs/JobEvents.cpp
+++ b/src/jobs/JobEvents.cpp
@@ -43,6 +43,19 @@
     return "";
 }
 
+const char* latenessName(JobLateness lateness)
+{
+    switch (lateness) {
+    case JobLateness::InTime:
+        return "in-time";
+    case JobLateness::Late:
+        return "late";
+    case JobLateness::Expired:
+        return "expired";
+    }
+    return "";
+}
+
 } // namespace
 
 Event describeRun(const char* name, const RunName& run)
@@ -87,6 +100,27 @@
     return Event("request");
 }
 
+Event describeWait(const PoolWait& wait)
+{
+    Event event("task-waits");
+    event.with("job", wait.task.job.text())
+        .with("occurrence", wait.task.occurrence)
+        .with("step", wait.task.step)
+        .with("pool", wait.pool)
+        .with("tasks", wait.tasksWaiting)
+        .with("isGang", wait.isGang)
+        .with("waitedMs", wait.waited)
+        .with("ageMs", wait.age)
+        .with("lateness", latenessName(wait.lateness))
+        .with("milliCores", wait.demand.cpuMilli)
+        .with("memoryMb", wait.demand.memoryMb)
+        .with("accelerators", wait.demand.accelerators);
+    // Without any of these fields the leader knows no runner of the pool.
+    for (const auto& [reason, count] : wait.runners)
+        event.with(waitReasonName(reason), count);
+    return event;
+}
+
 void logEnds(const JobStore& store, const std::vector<JobCommand>& commands, const std::string& runner)
 {
     std::set<JobId> jobs;
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -50,6 +50,8 @@
     m_overdue.clear();
     m_trust.clear();
     m_hints = {};
+    m_waits.clear();
+    m_waitingSince.clear();
     m_advice.clear();
     m_asking = 0;
 }
@@ -65,6 +67,7 @@
         plan();
     answerWaiting();
     answerOverdueIdle();
+    checkWaits();
     auto now = m_clock().steady;
     if (now < m_nextHousekeeping || m_isHousekeeping)
         return;
--- a/src/jobs/JobMasterPlan.cpp
+++ b/src/jobs/JobMasterPlan.cpp
@@ -19,18 +19,29 @@
     return m_clock().steady >= state.heardAt + m_options.silentAfter + m_lag;
 }
 
-std::optional<RunnerRoom> JobMaster::roomOf(const std::string& runner, const RunnerState& state) const
+WaitReason JobMaster::refusalOf(const std::string& runner, const RunnerState& state) const
 {
     const auto& report = state.report;
     // What is ordered on a runner that is gone would wait for its lease to end.
-    if (report.isDraining || state.hasLeft || isSilent(state) || m_reserved.count(runner) != 0)
-        return std::nullopt;
-    const auto* held = m_store.findHolding(report.life);
+    if (report.isDraining || state.hasLeft)
+        return WaitReason::Leaving;
+    if (isSilent(state))
+        return WaitReason::Silent;
+    if (m_reserved.count(runner) != 0)
+        return WaitReason::Reserved;
     auto trust = m_trust.trust(report.life);
-    if (trust == WorkerTrust::Quarantined || (trust == WorkerTrust::Probation && held != nullptr))
-        return std::nullopt;
+    if (trust == WorkerTrust::Quarantined)
+        return WaitReason::Quarantine;
+    bool isTried = trust == WorkerTrust::Probation && m_store.findHolding(report.life) != nullptr;
+    return isTried ? WaitReason::Probation : WaitReason::HasRoom;
+}
+
+RunnerRoom JobMaster::roomOf(const RunnerState& state) const
+{
+    const auto& report = state.report;
+    const auto* held = m_store.findHolding(report.life);
     RunnerRoom room;
-    room.takesOneTask = trust == WorkerTrust::Probation;
+    room.takesOneTask = m_trust.trust(report.life) == WorkerTrust::Probation;
     room.failuresInARow = m_trust.failuresInARow(report.life);
     room.rack = report.rack;
     room.life = report.life;
@@ -47,8 +58,8 @@
 void JobMaster::refreshRooms()
 {
     auto refresh = [this](const std::string& runner, const RunnerState& state) {
-        if (auto room = roomOf(runner, state)) {
-            m_rooms.set(std::move(*room));
+        if (refusalOf(runner, state) == WaitReason::HasRoom) {
+            m_rooms.set(roomOf(state));
         } else {
             m_rooms.remove(runner);
         }
@@ -71,6 +82,13 @@
     m_changedRunners.clear();
 }
 
+AdviceCheck JobMaster::adviceCheck(Millis now) const
+{
+    return [this, now](const TaskName& step, const std::string& runner) {
+        return m_advice.ticket(step, runner, now) != nullptr;
+    };
+}
+
 void JobMaster::setReserved(std::set<std::string> runners)
 {
     if (runners == m_reserved)
@@ -89,10 +107,7 @@
     refreshRooms();
     askForAdvice();
     auto now = m_clock();
-    auto starts = planStarts(
-        m_store, m_rooms, now.wall, m_hints, [this, now](const TaskName& step, const std::string& runner) {
-            return m_advice.ticket(step, runner, now.steady) != nullptr;
-        });
+    auto starts = planStarts(m_store, m_rooms, now.wall, m_hints, adviceCheck(now.steady));
     if (starts.empty())
         return;
     m_isPlanning = true;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/jobs/StartPlan.h"
 
+#include "celeryline/jobs/TaskFit.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -13,17 +15,6 @@
 /// So many jobs of a pool may find no room before the plan passes over the pool's other jobs.
 constexpr int longestSearch = 256;
 
-bool fits(const Resources& demand, const Resources& free)
-{
-    return demand.cpuMilli <= free.cpuMilli && demand.memoryMb <= free.memoryMb
-        && demand.accelerators <= free.accelerators;
-}
-
-bool hasLabel(const RunnerRoom& room, const std::string& label)
-{
-    return std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
-}
-
 /// @return how many tasks of a step each runner holds.
 std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
 {
@@ -38,11 +29,7 @@
 /// @return whether a runner may take one more task of a step.
 bool isAllowed(const StepSpec& spec, const RunnerRoom& room, std::int64_t here)
 {
-    if (!fits(reservedBy(spec), room.free))
-        return false;
-    if (!spec.requiredLabel.empty() && !hasLabel(room, spec.requiredLabel))
-        return false;
-    return spec.maxPerRunner == 0 || here < spec.maxPerRunner;
+    return checkDemand(spec, room, here) == WaitReason::HasRoom;
 }
 
 bool isSameStep(const TaskName& a, const TaskName& b)
@@ -190,23 +177,18 @@
         }
     }
 
-    /// @return whether a task failed on a runner and could run on another one of the pool.
-    bool mustAvoid(
-        const StepSpec& spec, const TaskName& name, const RunnerRoom& room, const RoomPool& pool) const
+    /// @return the runners on which a task failed; null if there are none.
+    const std::set<std::string>* failedOn(const TaskName& name) const
     {
         auto failed = m_hints.failedOn.find(name);
-        if (failed == m_hints.failedOn.end() || failed->second.count(room.life.runner) == 0)
-            return false;
-        return std::any_of(pool.begin(), pool.end(), [&](const RunnerRoom* other) {
-            return failed->second.count(other->life.runner) == 0
-                && (spec.requiredLabel.empty() || hasLabel(*other, spec.requiredLabel));
-        });
+        return failed == m_hints.failedOn.end() ? nullptr : &failed->second;
     }
 
     const RunnerRoom* chooseRoom(const StepSpec& spec, const TaskName& name, const RoomPool& pool,
         const std::map<std::string, std::uint32_t>& onRunner) const
     {
         const RunnerRoom* best = nullptr;
+        const auto* failed = failedOn(name);
         using Key = std::tuple<std::uint32_t, bool, bool, std::int64_t, std::int64_t>;
         Key bestKey;
         // Rooms come in the order of what is free, so the first one that is allowed fits closest.
@@ -219,7 +201,7 @@
                 continue;
             if (m_needsAdvice && !m_isAdvised(name, room->life.runner))
                 continue;
-            if (mustAvoid(spec, name, *room, pool))
+            if (mustAvoid(failed, spec, room->life.runner, pool))
                 continue;
             if (isFirstBest && room->failuresInARow == 0)
                 return room;
--- /dev/null
+++ b/src/jobs/WaitReport.cpp
@@ -0,0 +1,183 @@
+#include "celeryline/jobs/WaitReport.h"
+
+#include "celeryline/jobs/TaskFit.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace celeryline {
+namespace {
+
+/// Jobs of a queue that are looked at, so that a long backlog doesn't slow down the leader.
+constexpr std::size_t longestSearch = 256;
+
+struct OldestJob {
+    const JobState* job = nullptr;
+    const QueueSettings* queue = nullptr;
+    TaskName task;
+};
+
+/// The oldest waiting job of each pool.
+using OldestJobs = std::map<std::string, OldestJob>;
+
+using JobIterator = std::set<StartableJob>::const_iterator;
+
+void findOldest(
+    const JobStore& store, const QueueSettings& queue, JobIterator next, JobIterator end, OldestJobs& oldest)
+{
+    for (std::size_t seen = 0; next != end && seen < longestSearch; ++next, ++seen) {
+        const auto* job = store.findJob(next->id);
+        auto& known = oldest[queue.service];
+        if (known.job != nullptr && dueTime(*known.job) <= dueTime(*job))
+            continue;
+        if (auto task = waitingTaskOf(*job))
+            known = { job, &queue, *task };
+    }
+}
+
+OldestJobs findOldest(const JobStore& store)
+{
+    OldestJobs oldest;
+    for (const auto& [key, jobs] : store.startableJobs()) {
+        const auto* queue = findQueue(store.configuration(), key);
+        if (queue == nullptr)
+            continue;
+        auto limited = jobs.lower_bound({ false, { std::numeric_limits<std::int64_t>::min() }, {}, 0 });
+        findOldest(store, *queue, jobs.begin(), limited, oldest);
+        findOldest(store, *queue, limited, jobs.end(), oldest);
+    }
+    return oldest;
+}
+
+/// Counts the runners of a pool by why they can't take a task.
+class ReasonCount {
+public:
+    ReasonCount(
+        const StepSpec& spec, const OldestJob& oldest, const StartHints& hints, const AdviceCheck& isAdvised)
+        : m_spec(spec)
+        , m_oldest(oldest)
+        , m_isAdvised(isAdvised)
+    {
+        auto failed = hints.failedOn.find(oldest.task);
+        m_failedOn = failed == hints.failedOn.end() ? nullptr : &failed->second;
+    }
+
+    std::map<WaitReason, std::uint32_t> count(const std::vector<PoolRunner>& runners) const
+    {
+        RoomPool takers;
+        for (const auto& runner : runners) {
+            if (isOfPool(runner) && runner.refusal == WaitReason::HasRoom)
+                takers.insert(&runner.room);
+        }
+        std::map<WaitReason, std::uint32_t> counts;
+        for (const auto& runner : runners) {
+            if (isOfPool(runner))
+                ++counts[reasonOf(runner, takers)];
+        }
+        return counts;
+    }
+
+private:
+    bool isOfPool(const PoolRunner& runner) const { return runner.room.service == m_oldest.queue->service; }
+
+    WaitReason reasonOf(const PoolRunner& runner, const RoomPool& takers) const
+    {
+        if (runner.refusal != WaitReason::HasRoom)
+            return runner.refusal;
+        // Nothing of the job runs, so no runner holds a task of the step.
+        auto reason = checkDemand(m_spec, runner.room, 0);
+        if (reason != WaitReason::HasRoom)
+            return reason;
+        const auto& id = runner.room.life.runner;
+        if (mustAvoid(m_failedOn, m_spec, id, takers))
+            return WaitReason::FailedThere;
+        bool lacksAdvice = m_oldest.queue->needsAdvice && (!m_isAdvised || !m_isAdvised(m_oldest.task, id));
+        return lacksAdvice ? WaitReason::NoAdvice : WaitReason::HasRoom;
+    }
+
+    const StepSpec& m_spec;
+    const OldestJob& m_oldest;
+    const AdviceCheck& m_isAdvised;
+    const std::set<std::string>* m_failedOn = nullptr; ///< Null if the task failed nowhere.
+};
+
+} // namespace
+
+const char* waitReasonName(WaitReason reason)
+{
+    switch (reason) {
+    case WaitReason::HasRoom:
+        return "hasRoom";
+    case WaitReason::Leaving:
+        return "leaving";
+    case WaitReason::Silent:
+        return "silent";
+    case WaitReason::Reserved:
+        return "reserved";
+    case WaitReason::Quarantine:
+        return "quarantine";
+    case WaitReason::Probation:
+        return "probation";
+    case WaitReason::MissingLabel:
+        return "missingLabel";
+    case WaitReason::LittleCpu:
+        return "littleCpu";
+    case WaitReason::LittleMemory:
+        return "littleMemory";
+    case WaitReason::FewAccelerators:
+        return "fewAccelerators";
+    case WaitReason::TaskLimit:
+        return "taskLimit";
+    case WaitReason::FailedThere:
+        return "failedThere";
+    case WaitReason::NoAdvice:
+        return "noAdvice";
+    }
+    return "";
+}
+
+std::optional<TaskName> waitingTaskOf(const JobState& job)
+{
+    if (job.phase != JobPhase::Open)
+        return std::nullopt;
+    std::optional<TaskName> first;
+    for (const auto& [occurrence, steps] : job.occurrences) {
+        for (std::uint32_t i = 0; i < steps.size(); ++i) {
+            const auto& step = steps[i];
+            if (step.active > 0)
+                return std::nullopt;
+            if (first || step.done >= step.tasks.size() || !isStepReady(job.spec.steps, steps, i))
+                continue;
+            auto task = std::find_if(
+                step.tasks.begin(), step.tasks.end(), [](const TaskState& state) { return !state.isDone; });
+            first = TaskName { job.spec.id, occurrence, i,
+                static_cast<std::uint32_t>(task - step.tasks.begin()) };
+        }
+    }
+    return first;
+}
+
+std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
+    Millis wallNow, const StartHints& hints, const AdviceCheck& isAdvised)
+{
+    std::vector<PoolWait> waits;
+    for (const auto& [pool, oldest] : findOldest(store)) {
+        if (oldest.job == nullptr)
+            continue;
+        const auto& spec = oldest.job->spec.steps[oldest.task.step];
+        const auto& step = oldest.job->occurrences.at(oldest.task.occurrence)[oldest.task.step];
+        PoolWait wait;
+        wait.pool = pool;
+        wait.task = oldest.task;
+        wait.tasksWaiting = static_cast<std::uint32_t>(step.tasks.size()) - step.done;
+        wait.demand = reservedBy(spec);
+        wait.isGang = spec.isGang;
+        wait.lateness = latenessOf(*oldest.job, wallNow);
+        wait.age = wallNow - dueTime(*oldest.job);
+        wait.runners = ReasonCount(spec, oldest, hints, isAdvised).count(runners);
+        waits.push_back(std::move(wait));
+    }
+    return waits;
+}
+
+} // namespace celeryline
--- a/test/ExplainLogTest.cpp
+++ b/test/ExplainLogTest.cpp
@@ -26,6 +26,17 @@
     REQUIRE(parse(R"({"event":"cut sho)").event.empty());
 }
 
+// Guards against a job that waits and whose story doesn't show why.
+TEST_CASE("A line about a waiting task is about its job", "[cli]")
+{
+    auto waits = parse(
+        R"({"event":"task-waits","instance":"c1","timeMs":50,"job":"5c0e7a21d94b36f8","occurrence":0,"step":1,)"
+        R"("pool":"intake","tasks":8,"waitedMs":3000,"probation":2})");
+    REQUIRE(waits.isAboutId);
+    REQUIRE(explainFromLog({ waits }).size() == 1);
+    REQUIRE(waits.details.find("probation=2") != std::string::npos);
+}
+
 // Guards against a story in the order of the files, and against one that hides that the leader was lost.
 TEST_CASE("The lines of several processes make one story", "[cli]")
 {
--- /dev/null
+++ b/test/JobMasterWaitsTest.cpp
@@ -0,0 +1,132 @@
+#include "celeryline/jobs/JobMaster.h"
+
+#include "JobKit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using namespace celeryline::test;
+
+namespace {
+
+using Counts = std::map<WaitReason, std::uint32_t>;
+
+/// A runner that holds a long-running task and fails all others.
+struct FailingRunner {
+    FailingRunner()
+    {
+        auto step = makeStep(1);
+        step.isLongRunning = true;
+        kit.submit(makeJob("lasting", { step }));
+        report({}); // The plan that follows starts the task, and the next answer orders it.
+        lasting = report({}).starts;
+        REQUIRE(lasting.size() == 1);
+    }
+
+    /// The runner reports its long-running task.
+    RunnerOrders report(const std::vector<ReportedEnd>& ends)
+    {
+        auto report = makeReport("r", ++sequence);
+        for (const auto& start : lasting)
+            report.running.push_back(running(start));
+        report.ended = ends;
+        return *kit.report(report);
+    }
+
+    /// Fails tasks of several jobs until the runner is in quarantine.
+    void fail()
+    {
+        std::uint64_t end = 0;
+        for (const auto* id : { "a", "b", "c", "d" }) {
+            kit.submit(makeJob(id, { makeStep(1) }));
+            for (const auto& start : report({}).starts)
+                report({ ended(++end, start, RunEnd::Failed) });
+            kit.master.request(CancelJob { id }, [](RequestOutcome) {});
+        }
+    }
+
+    /// Lets time go by, with a report each half second.
+    void advance(int halfSeconds)
+    {
+        for (int i = 0; i < halfSeconds; ++i) {
+            kit.advance({ 500 });
+            report({});
+        }
+    }
+
+    MasterKit kit;
+    std::vector<StartOrder> lasting;
+    std::uint64_t sequence = 0;
+};
+
+} // namespace
+
+// Guards against a task that waits for a runner on probation without any line that says so (incident inc1:
+// such a runner counts as busy with its one task while it holds a long-running one).
+TEST_CASE("A wait names the probation of a runner that holds a long-running task", "[master][waits]")
+{
+    FailingRunner runner;
+    runner.fail();
+    runner.kit.submit(makeJob("waits", { makeStep(2) }));
+    runner.advance(2);
+    REQUIRE(runner.kit.master.waits().size() == 1);
+    REQUIRE(runner.kit.master.waits()[0].runners == Counts { { WaitReason::Quarantine, 1 } });
+    runner.advance(8);
+    const auto& wait = runner.kit.master.waits().at(0);
+    REQUIRE(wait.task == TaskName { "waits", 0, 0, 0 });
+    REQUIRE(wait.tasksWaiting == 2);
+    REQUIRE(wait.runners == Counts { { WaitReason::Probation, 1 } });
+    REQUIRE(wait.waited >= Millis { 3000 });
+    REQUIRE(wait.age >= wait.waited);
+    REQUIRE(runner.kit.master.oldestWait() == wait.waited);
+}
+
+// Guards against a report that disagrees with the plan, which leaves such runners out.
+TEST_CASE("A wait names why the plan leaves a runner out", "[master][waits]")
+{
+    MasterKit kit;
+    auto draining = makeReport("draining", 1);
+    draining.isDraining = true;
+    kit.report(draining);
+    kit.report(makeReport("silent", 1));
+    kit.master.setReserved({ "reserved" });
+    kit.advance({ 1600 });
+    kit.report(makeReport("reserved", 1));
+    kit.report(makeReport("left", 1));
+    kit.master.leave("left");
+    draining.sequence = 2;
+    kit.report(draining);
+    kit.submit(makeJob("a", { makeStep(1) }));
+    kit.advance({ 1000 });
+    REQUIRE(kit.store.holdings().empty());
+    REQUIRE(kit.master.waits().at(0).runners
+        == Counts { { WaitReason::Leaving, 2 }, { WaitReason::Reserved, 1 }, { WaitReason::Silent, 1 } });
+}
+
+// Guards against a wait that goes on in the metric after the task started or leadership was lost, and against
+// one that begins anew each time another job is the pool's oldest.
+TEST_CASE("A wait lasts from when it was seen until the task starts", "[master][waits]")
+{
+    MasterKit kit;
+    kit.submit(makeJob("a", { makeStep(1) })); // The first check is made at once.
+    REQUIRE(kit.master.waits().size() == 1);
+    REQUIRE(kit.master.oldestWait() == Millis {});
+    kit.advance({ 900 });
+    REQUIRE(kit.master.oldestWait() == Millis {});
+    kit.advance({ 2100 });
+    REQUIRE(kit.master.oldestWait() == Millis { 3000 });
+    kit.master.request(SubmitJob { makeJob("older", { makeStep(1) }), { 1 } }, [](RequestOutcome) {});
+    kit.advance({ 1000 });
+    REQUIRE(kit.master.waits().at(0).task.job == "older");
+    REQUIRE(kit.master.oldestWait() == Millis {});
+    kit.master.request(CancelJob { "older" }, [](RequestOutcome) {});
+    kit.advance({ 1000 });
+    REQUIRE(kit.master.oldestWait() == Millis { 5000 });
+    kit.log.leads = false;
+    REQUIRE(kit.master.oldestWait() == Millis {});
+    kit.log.leads = true;
+    kit.report(makeReport("r", 1));
+    kit.advance({ 1000 });
+    REQUIRE(kit.master.waits().empty());
+    REQUIRE(kit.master.oldestWait() == Millis {});
+}
