--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/jobs/JobStore.h"
 #include "celeryline/jobs/RoomIndex.h"
+#include "celeryline/jobs/TaskFit.h"
 
 #include <functional>
 #include <map>
@@ -17,7 +18,7 @@
 struct StartHints {
     std::set<TaskName> copies; ///< Tasks whose run is so slow that another one should run beside it.
     /// Steady time at which a task last failed on a runner, by task and runner.
-    std::map<TaskName, std::map<std::string, Millis>> failedOn;
+    std::map<TaskName, FailureTimes> failedOn;
     Millis now; ///< Steady time.
 };
 
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/jobs/StartPlan.h"
 
+#include "celeryline/jobs/TaskFit.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -11,16 +13,14 @@
 
 /// After so many times its objective a job's result is of no use.
 constexpr std::int64_t usefulObjectives = 3;
-/// How long a task waits for room on a runner where it didn't fail; most tasks end sooner and leave theirs.
-constexpr Millis waitAfterFailure { 2000 };
 /// So many jobs of a queue may find no room before the plan passes over the queue's other jobs. Those that
 /// need as much as a task that has just found none are not searched for, and don't count.
 constexpr int longestSearch = 256;
 
-bool fits(const Resources& demand, const Resources& free)
+bool fits(const Resources& demand, const Resources& room)
 {
-    return demand.cpuMilli <= free.cpuMilli && demand.memoryMb <= free.memoryMb
-        && demand.accelerators <= free.accelerators;
+    return demand.cpuMilli <= room.cpuMilli && demand.memoryMb <= room.memoryMb
+        && demand.accelerators <= room.accelerators;
 }
 
 /// The smallest reservations that found no room in a plan. Room only shrinks in the course of a plan, so what
@@ -45,11 +45,6 @@
     std::vector<Resources> m_limits; ///< None of them is as large as another one in all resources.
 };
 
-bool hasLabel(const RunnerRoom& room, const std::string& label)
-{
-    return std::find(room.labels.begin(), room.labels.end(), label) != room.labels.end();
-}
-
 /// @return how many tasks of a step each runner holds.
 std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
 {
@@ -64,11 +59,7 @@
 /// @return whether a runner may take one more task of a step.
 bool isAllowed(const StepSpec& spec, const RunnerRoom& room, std::int64_t here)
 {
-    if (!fits(reservedBy(spec), room.free))
-        return false;
-    if (!spec.requiredLabel.empty() && !hasLabel(room, spec.requiredLabel))
-        return false;
-    return spec.maxPerRunner == 0 || here < spec.maxPerRunner;
+    return checkDemand(spec, room, here) == WaitReason::HasRoom;
 }
 
 bool isSameStep(const TaskName& a, const TaskName& b)
@@ -115,8 +106,6 @@
     return best;
 }
 
-using FailureTimes = std::map<std::string, Millis>; ///< See StartHints::failedOn.
-
 /// Places the tasks of one step after the other.
 class Planner {
 public:
@@ -238,33 +227,18 @@
         }
     }
 
-    /// @return steady time at which a task failed on a runner; nothing if it didn't.
-    static std::optional<Millis> failureOn(const FailureTimes* failures, const std::string& runner)
+    /// @return when a task failed on each runner; null if it didn't fail.
+    const FailureTimes* failuresOf(const TaskName& name) const
     {
-        if (failures == nullptr)
-            return std::nullopt;
-        auto found = failures->find(runner);
-        return found == failures->end() ? std::nullopt : std::optional<Millis>(found->second);
-    }
-
-    /// @return whether a task that failed on a runner waits for another one of the pool.
-    bool mustWait(
-        const StepSpec& spec, Millis failedAt, const FailureTimes& failures, const RoomPool& pool) const
-    {
-        if (m_hints.now >= failedAt + waitAfterFailure)
-            return false;
-        return std::any_of(pool.begin(), pool.end(), [&](const RunnerRoom* other) {
-            return failures.count(other->life.runner) == 0
-                && (spec.requiredLabel.empty() || hasLabel(*other, spec.requiredLabel));
-        });
+        auto found = m_hints.failedOn.find(name);
+        return found == m_hints.failedOn.end() ? nullptr : &found->second;
     }
 
     const RunnerRoom* chooseRoom(const StepSpec& spec, const TaskName& name, const RoomPool& pool,
         const std::map<std::string, std::uint32_t>& onRunner) const
     {
         const RunnerRoom* best = nullptr;
-        auto found = m_hints.failedOn.find(name);
-        const auto* failures = found == m_hints.failedOn.end() ? nullptr : &found->second;
+        const auto* failures = failuresOf(name);
         using Key = std::tuple<bool, std::uint32_t, bool, bool, std::int64_t, std::int64_t>;
         Key bestKey;
         // Rooms come in the order of what is free, so the first one that is allowed fits closest.
@@ -277,17 +251,17 @@
                 continue;
             if (m_needsAdvice && !m_isAdvised(name, room->life.runner))
                 continue;
-            auto failedAt = failureOn(failures, room->life.runner);
-            if (failedAt && mustWait(spec, *failedAt, *failures, pool))
+            bool hasFailed = hasFailedOn(failures, room->life.runner);
+            if (hasFailed && mustAvoid(*failures, m_hints.now, spec, room->life.runner, pool))
                 continue;
-            if (isFirstBest && !failedAt && room->failuresInARow == 0)
+            if (isFirstBest && !hasFailed && room->failuresInARow == 0)
                 return room;
             bool isFar = !spec.dataRack.empty() && !hasLabel(*room, spec.dataRack);
             // What lasts is gathered on few runners, so that the machines of the others can change their
             // pool.
             bool isApart = spec.isLongRunning && room->lasting == 0;
             bool isOffRack = !m_rack.empty() && room->rack != m_rack;
-            Key key { failedAt.has_value(), room->failuresInARow, isFar || isApart, isOffRack,
+            Key key { hasFailed, room->failuresInARow, isFar || isApart, isOffRack,
                 spec.isLongRunning ? here : 0, room->free.cpuMilli };
             if (best == nullptr || key < bestKey) {
                 best = room;
