--- /dev/null
+++ b/test/ProgressKit.h
@@ -0,0 +1,103 @@
+/// @file
+/// Runners that obey, for short cases of tasks that wait.
+#pragma once
+
+#include "JobKit.h"
+#include "celeryline/machines/MachineMaster.h"
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celeryline::test {
+
+constexpr std::int64_t turnMs = 250;
+
+/// A runner that obeys: long-running tasks stay, others end with the next report.
+struct SmallRunner {
+    explicit SmallRunner(const std::string& name, const Resources& size = { 4000, 8000, 0 })
+        : id(name)
+        , capacity(size)
+    {
+    }
+
+    std::string id;
+    Resources capacity;
+    std::string service = "pool";
+    bool fails = false; ///< Whether tasks with an end fail there.
+    std::uint64_t sequence = 0;
+    std::uint64_t lastEnd = 0;
+    std::vector<RunName> running;
+    std::vector<ReportedEnd> ended;
+};
+
+inline bool isLasting(const JobStore& store, const RunName& run)
+{
+    const auto* step = store.findStep(run.task);
+    return step != nullptr && step->isLongRunning;
+}
+
+inline void endRun(SmallRunner& runner, const RunName& run, RunEnd how)
+{
+    auto found = std::find(runner.running.begin(), runner.running.end(), run);
+    if (found == runner.running.end())
+        return;
+    runner.running.erase(found);
+    runner.ended.push_back({ ++runner.lastEnd, run, how, "" });
+}
+
+/// One report of a runner, and what it does with the answer.
+/// @param started takes the jobs of which a task starts.
+inline void takeTurn(MasterKit& kit, SmallRunner& runner, std::set<std::string>& started)
+{
+    auto report = makeReport(runner.id, ++runner.sequence);
+    report.service = runner.service;
+    report.capacity = runner.capacity;
+    for (const auto& run : runner.running)
+        report.running.push_back({ run, "", 100, 0 });
+    report.ended = runner.ended;
+    auto orders = kit.report(report);
+    if (!orders)
+        return;
+    auto isAcknowledged = [&](const ReportedEnd& end) { return end.number <= orders->acknowledgedEnds; };
+    auto& ended = runner.ended;
+    ended.erase(std::remove_if(ended.begin(), ended.end(), isAcknowledged), ended.end());
+    for (const auto& run : std::vector<RunName>(runner.running)) {
+        if (!isLasting(kit.store, run))
+            endRun(runner, run, runner.fails ? RunEnd::Failed : RunEnd::Done);
+    }
+    for (const auto& stop : orders->stops)
+        endRun(runner, stop, RunEnd::Stopped);
+    for (const auto& start : orders->starts) {
+        started.insert(start.run.task.job.text());
+        runner.running.push_back(start.run);
+    }
+}
+
+/// Lets time pass with a report of each runner four times a second.
+/// @return the jobs of which a task started.
+inline std::set<std::string> play(MasterKit& kit, const std::vector<SmallRunner*>& runners,
+    std::int64_t milliseconds, MachineMaster* machines = nullptr)
+{
+    std::set<std::string> started;
+    for (std::int64_t passed = 0; passed < milliseconds; passed += turnMs) {
+        for (auto* runner : runners)
+            takeTurn(kit, *runner, started);
+        for (std::int64_t i = 0; i < turnMs; i += 50) {
+            kit.advance({ 50 });
+            if (machines != nullptr)
+                machines->tick();
+        }
+    }
+    return started;
+}
+
+inline StepSpec makeLasting(std::uint32_t count, std::int64_t cpuMilli, std::int64_t memoryMb)
+{
+    auto step = makeStep(count, cpuMilli, memoryMb);
+    step.isLongRunning = true;
+    return step;
+}
+
+} // namespace celeryline::test
