--- a/test/ProgressCasesTest.cpp
+++ b/test/ProgressCasesTest.cpp
@@ -67,7 +67,8 @@
     play(kit, { &sound, &tooSmall }, 500);
     REQUIRE(kit.store.findTask({ "job", 0, 0, 0 })->failures == 1);
     sound.fails = false;
-    REQUIRE(play(kit, { &sound, &tooSmall }, 5000).count("job") == 1);
+    play(kit, { &sound, &tooSmall }, 5000);
+    REQUIRE(kit.store.findJob("job")->phase == JobPhase::Completed);
 }
 
 // Guards against a gang whose members are kept off the runners where they failed until the rest of the pool
