--- a/test/ProgressMachineCasesTest.cpp
+++ b/test/ProgressMachineCasesTest.cpp
@@ -110,7 +110,7 @@
     kit.submit(makeJob("lasting", { makeLasting(2, 500, 3000) }));
     play(kit, { &r1, &r2 }, 5000, &kit.machines);
     REQUIRE(r1.running.size() == 2);
-    kit.submit(makeJob("waiting", { makeStep(4, 500, 4000) }));
+    kit.submit(makeJob("waiting", { makeStep(16, 100, 4000) }));
     play(kit, { &r1, &r2 }, 15000, &kit.machines);
     REQUIRE(kit.provider.moves.count("m2") == 1);
 }
