--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -71,7 +71,8 @@
         std::uint64_t wave = 0; ///< 0 for a move.
         std::string pool; ///< The new pool of a move.
         Stage stage = Stage::Emptying;
-        Millis since; ///< Steady time at which the stage began.
+        Millis since; ///< Steady time at which the stage began, or something of the machine last ended in it.
+        Resources held {}; ///< What its runner held when it was last looked at.
     };
 
     /// What is known of a machine.
@@ -109,6 +110,8 @@
     bool isProviderAway() const { return m_clock().steady >= m_answeredAt + m_options.providerSilence; }
     void noteAnswer();
     void noteAway();
+    bool isPaused(const std::string& machine) const;
+    bool mustGiveUp(Task& task, const Resources& held);
     void giveUp(const std::string& machine, Task& task);
     MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
     MachineLease lease() const { return { m_options.holder, m_log.term() }; }
@@ -135,8 +138,10 @@
     std::map<std::string, Task> m_tasks; ///< By machine.
     std::map<std::string, Millis> m_absentSince; ///< Machines of waves that are not listed.
     ArrivalRate m_arrivals;
-    /// Machines whose move was refused, or that could not be emptied, stay until then.
-    std::map<std::string, Millis> m_stayUntil;
+    std::map<std::string, Millis> m_refusedUntil; ///< Machines whose move was refused stay until then.
+    /// Machines that could not be emptied, or whose order had no answer, take tasks until then.
+    std::map<std::string, Millis> m_pausedUntil;
+    Millis m_nextPause; ///< The next machine of a wave may be given up then.
     Millis m_answeredAt; ///< When the provider last answered a call of this term.
     bool m_wasAway = false; ///< Whether the log says that the provider doesn't answer.
 };
--- a/src/jobs/RunnerTrust.cpp
+++ b/src/jobs/RunnerTrust.cpp
@@ -17,7 +17,7 @@
     HealthSettings settings;
     settings.quarantine = { 2500 };
     // Tasks that need a runner for themselves, or several at once, can't end a trial.
-    settings.longestProbation = { 10000 };
+    settings.longestProbation = { 2500 };
     settings.maxQuarantinedPercent = 40;
     return settings;
 }
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <tuple>
+#include <utility>
 
 namespace celeryline {
 namespace {
@@ -122,33 +123,33 @@
     bool isExcluded(const std::string& service, const Resources& least) const
     {
         const auto& pool = m_rooms.pool(service);
-        if (pool.lower_bound(least.cpuMilli) == pool.end())
-            return true;
-        auto limits = m_limits.find(service);
-        return limits != m_limits.end() && limits->second.excludes(least);
+        return pool.lower_bound(least.cpuMilli) == pool.end() || isBeyondLimit(service, "", least);
     }
 
     /// Starts what it can of a job.
-    /// @return whether something of it could start.
+    /// @return whether it searched for room in vain.
     bool placeJob(const JobState& job, const QueueSettings& queue)
     {
         if (queue.needsAdvice && !m_isAdvised)
-            return false;
+            return true;
         m_needsAdvice = queue.needsAdvice;
         auto startsBefore = m_starts.size();
+        bool hasSearched = false;
         for (const auto& [occurrence, steps] : job.occurrences) {
             for (std::size_t i = 0; i < steps.size(); ++i) {
                 const auto& spec = job.spec.steps[i];
                 bool hasWaiting = steps[i].done + steps[i].active < steps[i].tasks.size();
-                if (!hasWaiting || isExcluded(queue.service, reservedBy(spec)))
+                if (!hasWaiting || isExcluded(queue.service, reservedBy(spec))
+                    || isBeyondLimit(queue.service, spec.requiredLabel, reservedBy(spec)))
                     continue;
                 if (isStepReady(job.spec.steps, steps, i)) {
                     TaskName first { job.spec.id, occurrence, static_cast<std::uint32_t>(i), 0 };
                     placeStep(spec, steps[i], first, queue.service);
+                    hasSearched = true;
                 }
             }
         }
-        return m_starts.size() > startsBefore;
+        return hasSearched && m_starts.size() == startsBefore;
     }
 
     /// Places a second run beside a slow one.
@@ -179,11 +180,19 @@
     std::vector<StartRun> takeStarts() { return std::move(m_starts); }
 
 private:
-    /// @return whether each runner of the pool with enough room may take a task of the step.
-    bool needsOnlyRoom(const StepSpec& spec, const TaskName& name) const
+    /// @return whether a reservation is known to find no room on the runners of a pool with a label.
+    bool isBeyondLimit(
+        const std::string& service, const std::string& label, const Resources& reservation) const
+    {
+        auto limits = m_limits.find({ service, label });
+        return limits != m_limits.end() && limits->second.excludes(reservation);
+    }
+
+    /// @param isFirst whether the step holds nothing, so that its limit on one runner doesn't matter yet.
+    /// @return whether each runner with the step's label and enough room may take a task of the step.
+    bool needsOnlyRoom(const StepSpec& spec, const TaskName& name, bool isFirst) const
     {
-        return spec.requiredLabel.empty() && spec.maxPerRunner == 0 && !m_needsAdvice
-            && m_hints.failedOn.count(name) == 0;
+        return (spec.maxPerRunner == 0 || isFirst) && !m_needsAdvice && m_hints.failedOn.count(name) == 0;
     }
 
     void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service)
@@ -220,8 +229,8 @@
                     m_rooms.restore(*before);
                 return;
             } else if (m_hints.failedOn.count(name) == 0) {
-                if (needsOnlyRoom(spec, name))
-                    m_limits[service].add(reservedBy(spec));
+                if (needsOnlyRoom(spec, name, step.active == 0 && m_starts.size() == firstStart))
+                    m_limits[{ service, spec.requiredLabel }].add(reservedBy(spec));
                 return; // The other tasks of the step need as much room.
             }
         }
@@ -275,7 +284,7 @@
     RoomIndex& m_rooms;
     const StartHints& m_hints;
     const AdviceCheck& m_isAdvised;
-    std::map<std::string, RoomLimits> m_limits; ///< By pool.
+    std::map<std::pair<std::string, std::string>, RoomLimits> m_limits; ///< By pool and required label.
     std::string m_rack; ///< For the step that is being placed; empty if any will do.
     bool m_needsAdvice = false; ///< Of the queue whose job is being placed.
     std::vector<StartRun> m_starts;
@@ -335,7 +344,7 @@
         // Known without a look at the job, so that a long backlog costs little.
         if (m_planner.isExcluded(range.queue->service, startable.least))
             return true;
-        if (!m_planner.placeJob(*m_store.findJob(startable.id), *range.queue))
+        if (m_planner.placeJob(*m_store.findJob(startable.id), *range.queue))
             ++misses;
         return true;
     }
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -62,7 +62,8 @@
     m_kinds.clear();
     m_tasks.clear();
     m_absentSince.clear();
-    m_stayUntil.clear();
+    m_refusedUntil.clear();
+    m_pausedUntil.clear();
     noteEarlierOrders();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
@@ -268,8 +269,10 @@
 void MachineMaster::noteAnswer()
 {
     m_answeredAt = m_clock().steady;
-    if (std::exchange(m_wasAway, false))
-        Event("provider-found").writeAlways();
+    if (!std::exchange(m_wasAway, false))
+        return;
+    Event("provider-found").writeAlways();
+    m_pausedUntil.clear();
 }
 
 void MachineMaster::noteAway()
@@ -355,7 +358,7 @@
         auto known = m_machines.find(name);
         if (known == m_machines.end())
             noteAbsent(wave.order.wave, name);
-        if (known == m_machines.end() || !isAvailable(known->second.info) || isQuiet(name))
+        if (known == m_machines.end() || !isAvailable(known->second.info) || isQuiet(name) || isPaused(name))
             continue;
         const auto& info = known->second.info;
         auto use = m_jobs.useOf(info.runner);
@@ -404,18 +407,17 @@
 
 bool MachineMaster::isPinned(const std::string& machine) const
 {
-    auto stays = m_stayUntil.find(machine);
-    bool mustStay = stays != m_stayUntil.end() && m_clock().steady < stays->second;
-    return mustStay || isQuiet(machine) || m_tasks.count(machine) != 0;
+    auto refused = m_refusedUntil.find(machine);
+    bool isRefused = refused != m_refusedUntil.end() && m_clock().steady < refused->second;
+    return isRefused || isPaused(machine) || isQuiet(machine) || m_tasks.count(machine) != 0;
 }
 
 void MachineMaster::publishReserved()
 {
     std::set<std::string> runners;
-    bool isAway = isProviderAway();
     for (const auto& [name, task] : m_tasks) {
-        if (isAway && task.stage == Stage::Emptying)
-            continue; // Nobody would take the order for the empty machine.
+        if (isPaused(name))
+            continue;
         auto known = m_machines.find(name);
         if (known != m_machines.end() && !known->second.info.runner.empty())
             runners.insert(known->second.info.runner);
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -13,6 +13,8 @@
 constexpr Millis refusalKept { 10000 };
 /// What keeps a machine from being emptied mostly lasts; its room serves the tasks that wait meanwhile.
 constexpr Millis pauseAfterEmptying { 5000 };
+/// Between two machines of a wave that are given up.
+constexpr Millis pauseInterval { 500 };
 /// Until the new runner has reported.
 constexpr Millis arrivalMargin { 300 };
 
@@ -73,28 +75,64 @@
 
 void MachineMaster::empty(const std::string& machine, const std::string& runner, Task& task)
 {
+    if (isPaused(machine))
+        return;
     if (isProviderAway()) {
         giveUp(machine, task);
         return;
     }
-    if (m_jobs.useOf(runner).isEmpty) {
+    auto use = m_jobs.useOf(runner);
+    if (use.isEmpty) {
         if (!isQuiet(machine))
             record(machine);
-        return;
-    }
-    if (task.wave == 0 && m_clock().steady >= task.since + longestEmptying) {
+    } else if (mustGiveUp(task, use.reserved)) {
         giveUp(machine, task);
     } else {
         recallLasting(runner);
     }
 }
 
+bool MachineMaster::mustGiveUp(Task& task, const Resources& held)
+{
+    auto now = m_clock().steady;
+    // The long-running tasks of an upkeep leave one after the other.
+    if (task.wave != 0 && !(held == task.held)) {
+        task.held = held;
+        task.since = now;
+    }
+    if (now < task.since + longestEmptying)
+        return false;
+    if (task.wave == 0)
+        return true;
+    // The room of one machine may be all that the tasks of the others lack.
+    if (now < m_nextPause)
+        return false;
+    m_nextPause = now + pauseInterval;
+    return true;
+}
+
+bool MachineMaster::isPaused(const std::string& machine) const
+{
+    auto paused = m_pausedUntil.find(machine);
+    return paused != m_pausedUntil.end() && m_clock().steady < paused->second;
+}
+
 void MachineMaster::giveUp(const std::string& machine, Task& task)
 {
-    if (task.wave != 0) {
-        task.stage = Stage::Emptying; // The wave needs it; it begins anew when the provider is back.
+    auto now = m_clock().steady;
+    m_pausedUntil[machine] = now + pauseAfterEmptying;
+    Event("machine-paused")
+        .with("machine", machine)
+        .with("wave", task.wave)
+        .with("pool", task.pool)
+        .with("wasOrdered", task.stage == Stage::Ordered)
+        .writeAlways();
+    auto wave = m_store.waves().find(task.wave);
+    if (wave != m_store.waves().end() && wave->second.begun.count(machine) != 0) {
+        // It may be down for its upkeep, and counts as such until that is known.
+        task.stage = Stage::Emptying;
+        task.since = now + pauseAfterEmptying;
     } else {
-        m_stayUntil[machine] = m_clock().steady + pauseAfterEmptying;
         m_tasks.erase(machine);
     }
     publishReserved();
@@ -161,7 +199,7 @@
     if (task.wave != 0 && isOver)
         m_log.propose({ NoteUpkeep { task.wave, machine, true, {} } }, [](bool) {});
     if (outcome == MachineOutcome::Refused && task.wave == 0)
-        m_stayUntil[machine] = m_clock().steady + refusalKept;
+        m_refusedUntil[machine] = m_clock().steady + refusalKept;
     if (outcome != MachineOutcome::Done) {
         m_tasks.erase(found);
         publishReserved();
