--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -92,6 +92,7 @@
     std::vector<PoolDemand> demands();
     std::vector<PoolMachine> poolMachines() const;
     bool isAvailable(const MachineInfo& info) const;
+    bool isMachineComing(const std::string& pool) const;
     bool isStandbyPool(const std::string& pool) const;
 
     void advanceTasks();
--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -21,6 +21,8 @@
     std::int64_t arrivals = 0; ///< Work that was submitted lately, in thousandths of a core.
     std::uint32_t fewestMachines
         = 0; ///< So many different machines are needed for tasks that are kept apart.
+    /// A task waits that no machine of the pool has room for, and none is on its way.
+    bool needsMachine = false;
 };
 
 /// A machine that could change its pool.
@@ -59,7 +61,8 @@
 
 /// Answers a load in which queues take turns at several times their mean: pools that ask for more than they
 /// have get machines from pools that ask for less, idle ones first, and then machines that are off. A pool
-/// that lacks more is served first.
+/// that lacks more is served first. A pool without room for a task that waits gets one more machine, whatever
+/// its demand.
 /// @param demands what the pools' jobs ask for; pools without an entry ask for nothing.
 /// @param machines all machines that are up.
 /// @param options constants.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -12,6 +12,17 @@
 /// A machine that is not listed for a while can come back; after so long it can't have its upkeep any more.
 constexpr Millis goneAfter { 15000 };
 
+/// A task that waits so long without room on any runner gets one more machine for its pool.
+constexpr Millis longestWaitForRoom { 2000 };
+/// From a move's end until tasks that wait have started on the machine and the next report of waits says so.
+constexpr Millis arrivalTime { 3500 };
+
+bool lacksRoom(const PoolWait& wait)
+{
+    // Room for one member of a gang may not be room for all.
+    return wait.waited >= longestWaitForRoom && (wait.isGang || wait.runners.count(WaitReason::HasRoom) == 0);
+}
+
 /// Adds what the steps of one occurrence ask for.
 void addSteps(
     const std::vector<StepSpec>& specs, const std::vector<StepState>& steps, bool isLate, PoolDemand& demand)
@@ -212,12 +223,28 @@
         for (const auto& [occurrence, steps] : job.occurrences)
             addSteps(job.spec.steps, steps, lateness == JobLateness::Late, demand);
     }
+    for (const auto& wait : m_jobs.waits()) {
+        auto found = byPool.find(wait.pool);
+        if (found != byPool.end())
+            found->second.needsMachine = lacksRoom(wait) && !isMachineComing(wait.pool);
+    }
     std::vector<PoolDemand> demands;
     for (auto& [pool, demand] : byPool)
         demands.push_back(std::move(demand));
     return demands;
 }
 
+bool MachineMaster::isMachineComing(const std::string& pool) const
+{
+    bool isOnItsWay = std::any_of(m_tasks.begin(), m_tasks.end(),
+        [&](const auto& entry) { return entry.second.wave == 0 && entry.second.pool == pool; });
+    auto now = m_clock().steady;
+    return isOnItsWay || std::any_of(m_machines.begin(), m_machines.end(), [&](const auto& entry) {
+        const auto& known = entry.second;
+        return known.info.pool == pool && now < known.inPoolSince + arrivalTime;
+    });
+}
+
 bool MachineMaster::isStandbyPool(const std::string& pool) const
 {
     const auto& pools = m_store.configuration().pools;
--- a/src/machines/PoolPlan.cpp
+++ b/src/machines/PoolPlan.cpp
@@ -18,6 +18,7 @@
     std::int64_t wants = 0;
     std::uint32_t machines = 0;
     std::uint32_t fewestMachines = 0;
+    bool needsMachine = false; ///< One more, whatever it wants.
 
     std::int64_t lacks() const { return wants - has; }
 
@@ -25,12 +26,13 @@
     {
         has += machine.cores;
         ++machines;
+        needsMachine = false;
     }
 
     /// @return whether the pool can do without a machine.
     bool canGive(const PoolMachine& machine) const
     {
-        return lacks() + machine.cores <= 0 && machines > fewestMachines;
+        return lacks() + machine.cores <= 0 && machines > fewestMachines && !needsMachine;
     }
 
     void remove(const PoolMachine& machine)
@@ -42,9 +44,10 @@
     /// @return what the pool lacks, counting machines that are needed to keep tasks apart as wholes.
     std::int64_t lacksFor(std::int64_t coresOfMachine) const
     {
-        if (machines >= fewestMachines)
-            return lacks();
-        return std::max(lacks(), (fewestMachines - machines) * coresOfMachine);
+        std::int64_t wholes = machines >= fewestMachines ? 0 : fewestMachines - machines;
+        if (needsMachine)
+            wholes = std::max<std::int64_t>(wholes, 1);
+        return wholes == 0 ? lacks() : std::max(lacks(), wholes * coresOfMachine);
     }
 };
 
@@ -108,6 +111,12 @@
     donors = std::move(kept);
 }
 
+bool hasMoveTo(const std::vector<MachineMove>& moves, const std::string& pool)
+{
+    return std::any_of(
+        moves.begin(), moves.end(), [&](const MachineMove& move) { return move.pool == pool; });
+}
+
 } // namespace
 
 std::int64_t wantedCores(const PoolDemand& demand, const PoolPlanOptions& options)
@@ -123,6 +132,9 @@
     auto donors = donorsOf(machines);
     std::vector<MachineMove> moves;
     giveMachines(donors, balances, options, moves);
+    for (const auto& demand : demands)
+        balances[demand.pool].needsMachine = demand.needsMachine && !hasMoveTo(moves, demand.pool);
+    giveMachines(donors, balances, options, moves);
     for (const auto& demand : demands)
         balances[demand.pool].wants += coresFor(demand.lateBacklog, options);
     donors.erase(std::remove_if(donors.begin(), donors.end(),
--- a/test/PoolPlanTest.cpp
+++ b/test/PoolPlanTest.cpp
@@ -117,6 +117,23 @@
     REQUIRE(planPoolMoves({ lacking, demand("b", 0) }, twoPools(6), {}).size() == 2);
 }
 
+// Guards against a task that no machine of its pool has room for and that never starts, because its pool
+// lacks less than half a machine or its job is late beyond use.
+TEST_CASE("A pool without room for a waiting task gets one machine", "[pools]")
+{
+    auto full = demand("a", 0);
+    full.needsMachine = true;
+    auto moves = planPoolMoves({ full, demand("b", 0) }, twoPools(6), {});
+    REQUIRE(moves.size() == 1);
+    REQUIRE(moves[0].pool == "a");
+    // A pool that needs all of its machines gives none, and what is lacking in time comes first.
+    REQUIRE(planPoolMoves({ full, demand("b", 5 * cores) }, twoPools(6), {}).empty());
+    auto lacking = demand("a", 8 * cores);
+    lacking.needsMachine = true;
+    auto usual = planPoolMoves({ demand("a", 8 * cores), demand("b", 0) }, twoPools(6), {});
+    REQUIRE(planPoolMoves({ lacking, demand("b", 0) }, twoPools(6), {}) == usual);
+}
+
 // Guards against a backlog that isn't counted beside what runs.
 TEST_CASE("Work that waits is to be done within the horizon", "[pools]")
 {
