--- a/include/celeryline/consensus/RaftOptions.h
+++ b/include/celeryline/consensus/RaftOptions.h
@@ -20,6 +20,11 @@
     return !storageId.empty() && storageId.rfind(memoryIdPrefix, 0) != 0;
 }
 
+/// @param electionTimeout minimum of the election timeouts.
+/// @return how long an election takes at most, if one round of votes is lost: a follower waits for up to
+/// twice the minimum, and a candidate for up to once more.
+constexpr Millis longestElection(Millis electionTimeout) { return { 3 * electionTimeout.count }; }
+
 /// Constants of one RaftCore.
 struct RaftOptions {
     ReplicaId self;
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/base/Clock.h"
 #include "celeryline/consensus/LogDriver.h"
+#include "celeryline/control/ControlTimes.h"
 #include "celeryline/control/DiskThread.h"
 #include "celeryline/control/LeaderClient.h"
 #include "celeryline/control/LoopLag.h"
@@ -39,7 +40,7 @@
     std::size_t voters = 3; ///< How many replicas vote; one more than twice the disks that may be lost.
     std::string directory; ///< Data folder.
     Millis heartbeat { 100 }; ///< Of consensus.
-    Millis electionTimeout { 500 }; ///< Minimum.
+    Millis electionTimeout = controlElectionTimeout; ///< Minimum.
     Millis longestLag { 400 }; ///< A process that is later takes no further jobs.
     JobMasterOptions jobs;
 };
--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -2,6 +2,7 @@
 /// Passes requests on to the leader, whoever it is.
 #pragma once
 
+#include "celeryline/control/LeaderSilence.h"
 #include "celeryline/rpc/ControlLink.h"
 #include "celeryline/rpc/ForwardedRequest.h"
 
@@ -37,7 +38,8 @@
 
 /// Finds the leader and passes requests on to it. It learns the leader from answers, and asks the known
 /// control processes in turn while it knows none. All requests are idempotent, so one whose fate is unknown
-/// is sent again until its time is up.
+/// is sent again until its time is up. With a RefusalRule, a request that was sent to nobody is refused at
+/// once while no leader has answered for long; somebody else must then ask for one (LeaderSearch).
 class LeaderClient {
 public:
     /// @param links links of this process; must outlive this object.
@@ -53,6 +55,25 @@
 
     const std::vector<std::string>& addresses() const { return m_addresses; }
 
+    /// Refuses requests by a rule from now on.
+    void setRefusalRule(const RefusalRule& rule) { m_refusalRule = rule; }
+
+    /// Notes that a control process is asked for the leader.
+    void noteQuestion() { m_silence = afterQuestion(m_silence, now()); }
+
+    /// Notes that time passes; needed every silenceStep while an answer is waited for.
+    void noteTime() { m_silence = afterTime(m_silence, now()); }
+
+    /// Notes that a leader has answered.
+    /// @param address its address.
+    void noteLeader(const std::string& address);
+
+    /// @return how long no leader has answered.
+    const LeaderSilence& silence() const { return m_silence; }
+
+    /// @return whether requests that were sent to nobody are refused at once.
+    bool isRefusing() const { return mustRefuse(m_refusalRule, m_silence, false); }
+
     /// @return the leader, or the next known control process while none is known.
     std::string nextTarget();
 
@@ -71,6 +92,8 @@
         bool mayHaveRun = false;
     };
 
+    Millis now() const;
+    ForwardedResponse withoutAnswer(const Attempt& attempt) const;
     kj::Promise<ForwardedResponse> tryOnce(const std::shared_ptr<Attempt>& attempt);
     kj::Promise<ForwardedResponse> tryAgain(const std::shared_ptr<Attempt>& attempt);
 
@@ -78,6 +101,8 @@
     std::vector<std::string> m_addresses;
     std::string m_leader;
     std::size_t m_next = 0;
+    RefusalRule m_refusalRule;
+    LeaderSilence m_silence;
 };
 
 } // namespace celeryline
--- a/src/cli/ExplainLogCommand.cpp
+++ b/src/cli/ExplainLogCommand.cpp
@@ -20,9 +20,9 @@
 
 bool isProcessEvent(const std::string& event)
 {
-    static const std::array<const char*, 14> events { "started", "stopping", "stopped", "reload",
+    static const std::array<const char*, 16> events { "started", "stopping", "stopped", "reload",
         "log-formed", "log-joined", "leader-found", "leader-lost", "leading", "leadership-handed-over",
-        "storage-failed", "storage-recovered", "control-lost", "control-found" };
+        "storage-failed", "storage-recovered", "control-lost", "control-found", "refusing", "not-refusing" };
     return std::find(events.begin(), events.end(), event) != events.end();
 }
 
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -1,12 +1,12 @@
 #include "celeryline/control/LeaderClient.h"
 
+#include "celeryline/control/ControlTimes.h"
+
 #include <algorithm>
 
 namespace celeryline {
 namespace {
 
-/// Longer than a commit takes on a slow disk; after it, another control process may lead.
-constexpr Millis tryTimeout { 800 };
 constexpr kj::Duration retryPause = 40 * kj::MILLISECONDS;
 
 } // namespace
@@ -42,6 +42,17 @@
     return m_addresses[m_next++ % m_addresses.size()];
 }
 
+void LeaderClient::noteLeader(const std::string& address)
+{
+    m_leader = address;
+    m_silence = afterAnswer(now());
+}
+
+Millis LeaderClient::now() const
+{
+    return { (m_links.timer().now() - kj::origin<kj::TimePoint>()) / kj::MILLISECONDS };
+}
+
 kj::Promise<ForwardedResponse> LeaderClient::forward(
     ForwardedRequest request, Millis timeout, Millis timeoutOnceSent)
 {
@@ -53,20 +64,29 @@
     return tryOnce(attempt);
 }
 
+ForwardedResponse LeaderClient::withoutAnswer(const Attempt& attempt) const
+{
+    ForwardedResponse response;
+    response.outcome = attempt.mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotLeading;
+    if (isRefusing())
+        response.retryAfter = m_refusalRule.retryAfter;
+    return response;
+}
+
 kj::Promise<ForwardedResponse> LeaderClient::tryOnce(const std::shared_ptr<Attempt>& attempt)
 {
     Millis left { (attempt->deadline - m_links.timer().now()) / kj::MILLISECONDS };
     auto target = nextTarget();
-    if (left <= Millis {} || target.empty()) {
-        ForwardedResponse response;
-        response.outcome = attempt->mayHaveRun ? ForwardOutcome::Unknown : ForwardOutcome::NotLeading;
-        return response;
-    }
-    auto answered = m_links.to(target).forward(attempt->request, std::min(left, tryTimeout));
+    // A question has no effect that its caller would have to know of.
+    bool mayHaveEffect = attempt->mayHaveRun && attempt->request.method != "GET";
+    bool isRefused = mustRefuse(m_refusalRule, m_silence, mayHaveEffect);
+    if (isRefused || left <= Millis {} || target.empty())
+        return withoutAnswer(*attempt);
+    auto answered = m_links.to(target).forward(attempt->request, std::min(left, controlCallTimeout));
     return answered.then(
         [this, attempt, target](CallResult<ForwardedResponse>&& call) -> kj::Promise<ForwardedResponse> {
             if (call.hasResult && call.result.outcome == ForwardOutcome::Answered) {
-                m_leader = target;
+                noteLeader(target);
                 return kj::mv(call.result);
             }
             bool isUnknown = call.hasResult ? call.result.outcome == ForwardOutcome::Unknown
