--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -90,6 +90,10 @@
     /// must not act as leader any more. A time in the past if this isn't the leader.
     Millis leaseEnd() const;
 
+    /// @return when tick() next has to send something: a leader's heartbeat, or the start of an election.
+    /// Empty on a replica that doesn't vote.
+    std::optional<Millis> nextTimer() const;
+
     bool isVoter() const { return m_log.configuration().contains(m_options.self); }
     ConsensusRole role() const { return m_role; }
     const std::string& leader() const { return m_leader; } ///< Empty if unknown.
--- a/include/celeryline/consensus/ReplicatedLog.h
+++ b/include/celeryline/consensus/ReplicatedLog.h
@@ -74,6 +74,7 @@
     };
 
     void run();
+    Millis longestWait() const;
     void runOnce(const Inputs& inputs);
     void propose(const std::vector<Proposal>& proposals);
     void processOutputs();
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -60,6 +60,15 @@
     }
 }
 
+std::optional<Millis> RaftCore::nextTimer() const
+{
+    if (m_role == ConsensusRole::Leader)
+        return m_nextHeartbeat;
+    if (!isVoter())
+        return std::nullopt;
+    return m_electionDeadline;
+}
+
 void RaftCore::receive(Millis now, const RaftMessage& message)
 {
     advanceTime(now);
--- a/src/consensus/ReplicatedLog.cpp
+++ b/src/consensus/ReplicatedLog.cpp
@@ -93,15 +93,25 @@
     m_isRunning = false;
 }
 
+Millis ReplicatedLog::longestWait() const
+{
+    constexpr Millis shortest { 1 };
+    auto longest = std::max(shortest, Millis { m_settings.consensus.heartbeat.count / 2 });
+    auto timer = m_core != nullptr ? m_core->nextTimer() : std::nullopt;
+    if (!timer)
+        return longest;
+    // Two candidates whose timeouts were rounded up to the same step would split the votes.
+    return std::clamp(*timer - m_clock.now(), shortest, longest);
+}
+
 void ReplicatedLog::run()
 {
-    auto longestWait
-        = std::chrono::milliseconds(std::max<std::int64_t>(1, m_settings.consensus.heartbeat.count / 2));
     for (;;) {
         Inputs inputs;
+        auto wait = longestWait().toChrono();
         {
             std::unique_lock<std::mutex> lock(m_mutex);
-            m_wakeLog.wait_for(lock, longestWait, [this] {
+            m_wakeLog.wait_for(lock, wait, [this] {
                 return m_isStopping || !m_inputs.messages.empty() || !m_inputs.proposals.empty()
                     || !m_inputs.formations.empty() || m_inputs.mustTransfer;
             });
--- a/test/RaftCoreTest.cpp
+++ b/test/RaftCoreTest.cpp
@@ -378,3 +378,23 @@
         REQUIRE(now - first >= Millis { timeout / 2 });
     }
 }
+
+// Guards against a loop that can't tell when to call tick(), so that random election timeouts become equal
+// steps.
+TEST_CASE("A replica tells when its next timer runs", "[consensus]")
+{
+    auto core = coreWith({ a, { "b", "2" } });
+    auto timer = core.nextTimer();
+    REQUIRE(timer.has_value());
+    core.tick(*timer - Millis { 1 });
+    REQUIRE(core.takeOutput().messages.empty());
+    core.tick(*timer);
+    REQUIRE(core.takeOutput().messages.size() == 1);
+    // The candidate's next try.
+    REQUIRE(*core.nextTimer() > *timer);
+    // A replica that doesn't vote has nothing to begin.
+    RaftOptions options;
+    options.self = { "c", "3" };
+    RaftCore outside(options, { 1, {} }, {}, { formationOf({ a }) }, { 0 });
+    REQUIRE_FALSE(outside.nextTimer().has_value());
+}
--- a/test/ReplicatedLogTest.cpp
+++ b/test/ReplicatedLogTest.cpp
@@ -4,10 +4,12 @@
 #include "LocalTransport.h"
 #include "MemoryFileSystem.h"
 #include "TemporaryFolder.h"
+#include "celeryline/consensus/LogFormation.h"
 #include "celeryline/storage/DiskFileSystem.h"
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <thread>
 
 using namespace celeryline;
@@ -118,6 +120,20 @@
     std::map<std::string, std::unique_ptr<Member>> members;
 };
 
+/// Takes the first consensus message; nobody else is there.
+class FirstMessageTransport final : public PeerTransport {
+public:
+    void sendRaft(const std::string&, RaftMessage) override { hasSent = true; }
+    CommandResult submit(const std::string&, const Command&, Millis) override { return {}; }
+    Hello hello(const std::string&, const Hello&, Millis) override { return {}; }
+    void sendDelta(const std::string&, RegistryDelta) override { }
+    void sendHeartbeat(const std::string&, const Heartbeat&) override { }
+    RegistryDelta fullCopy(const std::string&, Millis) override { return {}; }
+    CreditGrant requestCredits(const std::string&, const CreditRequest&, Millis) override { return {}; }
+
+    std::atomic<bool> hasSent { false };
+};
+
 } // namespace
 
 TEST_CASE("A single voter keeps its state over restarts", "[consensus]")
@@ -226,6 +242,32 @@
     CHECK(cluster.members.at(old)->state.digest() == cluster.members.at("d")->state.digest());
 }
 
+// Guards against a log that looks at its timers only now and then: the random election timeouts of two
+// followers became equal, so that their votes split.
+TEST_CASE("An election begins when its timeout ends, not at the next half heartbeat", "[consensus]")
+{
+    auto settings = settingsOf("a", "data");
+    settings.voters = { "a", "b" };
+    settings.peers.push_back({ "b", "dc1", "", "" });
+    settings.consensus.heartbeat = { 6000 };
+    settings.consensus.electionTimeout = { 100 };
+    SystemClock clock;
+    celeryline::test::MemoryFileSystem files;
+    CounterState state;
+    FirstMessageTransport transport;
+    ReplicatedLog log(settings, clock, files, &transport, state);
+    log.start();
+    Hello founder { "b", "storage-b", true, "" };
+    VoterConfiguration voters { { { "a", log.onHello(founder).storageId }, { "b", founder.storageId } } };
+    founder.formation = encodeFormation(firstEntry(voters));
+    REQUIRE(log.onHello(founder).hasLog);
+    auto start = clock.now();
+    REQUIRE(Cluster::eventually([&] { return transport.hasSent.load(); }));
+    // Twice the minimum at most, and as much for a busy machine as the half heartbeat leaves.
+    REQUIRE((clock.now() - start).count < 2000);
+    log.stop();
+}
+
 TEST_CASE("A planned stop hands leadership over while commands go on", "[consensus]")
 {
     Cluster cluster;
