--- a/test/JobStoreTest.cpp
+++ b/test/JobStoreTest.cpp
@@ -250,3 +250,46 @@
         REQUIRE_THROWS_AS(decodeJobCommand(bytes.substr(0, size)), Error);
     REQUIRE_THROWS_AS(decodeJobCommand(bytes + "x"), Error);
 }
+
+namespace {
+
+/// A configuration as an operator of a large fleet sends it.
+QueueConfiguration makeLargeConfiguration()
+{
+    auto configuration = makeConfiguration();
+    auto queue = configuration.queues.front();
+    for (int i = 0; i < 2000; ++i) {
+        queue.key = "host" + std::to_string(i) + ".example/queue" + std::to_string(i) + "/";
+        queue.name = "queue-" + std::to_string(i);
+        configuration.queues.push_back(queue);
+        configuration.document += R"({"host":")" + queue.key + R"(","service":"pool","timeout_ms":3000},)";
+    }
+    return configuration;
+}
+
+} // namespace
+
+// Load: four changes a second of a configuration with 2,000 queues. Sent to all replicas in full they filled
+// the leader's link, jobs were committed late and the leader lost its office (grown Consorzio fresh-8fdc).
+TEST_CASE("A large configuration takes little room in a log entry", "[jobs]")
+{
+    auto configuration = makeLargeConfiguration();
+    auto bytes = encodeJobCommand(AcceptConfiguration { configuration });
+    REQUIRE(bytes.size() < configuration.document.size() / 2);
+    auto decoded = std::get<AcceptConfiguration>(decodeJobCommand(bytes)).configuration;
+    REQUIRE(decoded.document == configuration.document);
+    REQUIRE(decoded.queues.size() == configuration.queues.size());
+    REQUIRE(decoded.queues.back().key == configuration.queues.back().key);
+}
+
+// Guards against damaged bytes that the decompressor reads to their end without an error.
+TEST_CASE("Damaged bytes of a large command are an error", "[jobs]")
+{
+    auto bytes = encodeJobCommand(AcceptConfiguration { makeLargeConfiguration() });
+    for (std::size_t size = 0; size < bytes.size(); size += 97)
+        REQUIRE_THROWS_AS(decodeJobCommand(bytes.substr(0, size)), Error);
+    REQUIRE_THROWS_AS(decodeJobCommand(bytes + "x"), Error);
+    auto damaged = bytes;
+    damaged[damaged.size() / 2] = static_cast<char>(damaged[damaged.size() / 2] ^ 0x55);
+    REQUIRE_THROWS_AS(decodeJobCommand(damaged), Error);
+}
