--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -15,6 +15,8 @@
 struct PoolDemand {
     std::string pool;
     std::int64_t backlog = 0; ///< Work that waits, of jobs that can still end in time.
+    /// The part of the backlog whose steps wait for other steps; it takes over their cores.
+    std::int64_t followingBacklog = 0;
     std::int64_t lateBacklog = 0; ///< Work that waits, of jobs that can't.
     std::int64_t inUse = 0; ///< Thousandths of a core that run tasks with an end, of jobs in time.
     std::int64_t lasting = 0; ///< Thousandths of a core that long-running tasks reserve.
@@ -59,7 +61,8 @@
 
 /// Answers a load in which queues take turns at several times their mean: pools that ask for more than they
 /// have get machines from pools that ask for less, idle ones first, and then machines that are off. A pool
-/// that lacks more is served first.
+/// that lacks more is served first. Pools that lack machines for steps whose turn has come also get those
+/// that another pool keeps for later steps only.
 /// @param demands what the pools' jobs ask for; pools without an entry ask for nothing.
 /// @param machines all machines that are up.
 /// @param options constants.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -34,6 +34,7 @@
         } else {
             demand.inUse += step.active * cores;
             demand.backlog += waiting;
+            demand.followingBacklog += isStepReady(specs, steps, i) ? 0 : waiting;
         }
     }
 }
--- a/src/machines/PoolPlan.cpp
+++ b/src/machines/PoolPlan.cpp
@@ -108,6 +108,13 @@
     donors = std::move(kept);
 }
 
+/// @return what wantedCores() gives without the steps that wait for other steps.
+std::int64_t wantedAtOnce(PoolDemand demand, const PoolPlanOptions& options)
+{
+    demand.backlog -= demand.followingBacklog;
+    return wantedCores(demand, options);
+}
+
 } // namespace
 
 std::int64_t wantedCores(const PoolDemand& demand, const PoolPlanOptions& options)
@@ -124,7 +131,10 @@
     std::vector<MachineMove> moves;
     giveMachines(donors, balances, options, moves);
     for (const auto& demand : demands)
-        balances[demand.pool].wants += coresFor(demand.lateBacklog, options);
+        balances[demand.pool].wants = wantedAtOnce(demand, options);
+    giveMachines(donors, balances, options, moves);
+    for (const auto& demand : demands)
+        balances[demand.pool].wants = wantedCores(demand, options) + coresFor(demand.lateBacklog, options);
     donors.erase(std::remove_if(donors.begin(), donors.end(),
                      [](const PoolMachine* donor) { return donor->inUse > 0 || donor->isStandby; }),
         donors.end());
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -350,3 +350,36 @@
     REQUIRE(kit.machines.couldHold(small));
     REQUIRE(kit.machines.couldHold(labelled));
 }
+
+// Guards against steps that wait for others being counted like those whose turn has come.
+TEST_CASE("A step that waits for another one keeps no machine from a pool that lacks it", "[machines]")
+{
+    MachineKit kit;
+    auto configuration = kit.store.configuration();
+    ++configuration.version;
+    for (auto& queue : configuration.queues)
+        queue.objective = { 60000 };
+    kit.store.apply(AcceptConfiguration { configuration }, {});
+    kit.addMachine("busy", "pool", "r1");
+    kit.addMachine("idle1", "pool", "r2");
+    kit.addMachine("idle2", "pool", "r3");
+    kit.pass(10000);
+    kit.report(makeReport("r1", 1));
+    auto job = makeJob("chain", { makeStep(4), makeStep(16) });
+    job.steps[0].estimate = { 4000 };
+    job.steps[1].estimate = { 4000 };
+    job.steps[1].after = { 0 };
+    kit.submit(job);
+    auto starts = kit.report(makeReport("r1", 2))->starts;
+    REQUIRE(starts.size() == 4);
+    auto holds = makeReport("r1", 3);
+    for (const auto& start : starts)
+        holds.running.push_back({ start.run, "", 10, 0 });
+    kit.pass(2000);
+    kit.report(holds);
+    kit.pass(1500);
+    REQUIRE(kit.provider.orders.empty());
+    kit.addPeak();
+    kit.pass(400);
+    REQUIRE(kit.provider.orders.size() == 1);
+}
--- a/test/PoolPlanTest.cpp
+++ b/test/PoolPlanTest.cpp
@@ -126,3 +126,28 @@
     options.usableShare = 1;
     REQUIRE(wantedCores(waiting, options) == 32000);
 }
+
+// Load: a pool's peak has just ended and its jobs have steps to go. Those were counted beside the tasks that
+// they wait for, so the pool kept its machines while another one was in its peak (grown Kromrivier scale-1).
+TEST_CASE("Machines kept for later steps go to a pool that lacks them at once", "[pools]")
+{
+    auto ending = demand("a", 0);
+    ending.inUse = 2 * cores;
+    ending.backlog = 4 * cores * 2;
+    ending.followingBacklog = ending.backlog;
+    auto machines = twoPools(6);
+    auto moves = planPoolMoves({ ending, demand("b", 8 * cores) }, machines, {});
+    REQUIRE(moves.size() == 3);
+    for (const auto& move : moves)
+        REQUIRE(move.pool == "b");
+}
+
+// Guards against a pool that gets no machines for the later steps of its jobs although another one idles.
+TEST_CASE("Idle machines come for later steps too", "[pools]")
+{
+    auto beginning = demand("a", 0);
+    beginning.inUse = 5 * cores;
+    beginning.backlog = 4 * cores * 2;
+    beginning.followingBacklog = beginning.backlog;
+    REQUIRE(planPoolMoves({ beginning, demand("b", 0) }, twoPools(6), {}).size() == 5);
+}
