--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -176,7 +176,8 @@
     RunnerRoom roomOf(const RunnerState& state) const;
     AdviceCheck adviceCheck(Millis now) const;
     void refreshRooms();
-    void checkWaits();
+    void checkWaits(const std::vector<StartRun>& starts);
+    RunnerRoom roomAfterPlan(const std::string& runner, const RunnerState& state) const;
     void noteWaits(Millis now);
     void answerAfterPlan(const std::shared_ptr<PendingReport>& pending);
     void answerWaiting();
--- a/include/celeryline/jobs/RoomIndex.h
+++ b/include/celeryline/jobs/RoomIndex.h
@@ -64,6 +64,10 @@
 
     void clear();
 
+    /// @param runner id of a runner.
+    /// @return its room; null if it takes no tasks.
+    const RunnerRoom* find(const std::string& runner) const;
+
     /// @param service a pool.
     /// @return its rooms; empty for a pool without runners.
     const RoomPool& pool(const std::string& service) const;
--- a/include/celeryline/jobs/WaitReport.h
+++ b/include/celeryline/jobs/WaitReport.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,14 +41,16 @@
 /// Finds for each pool the oldest job that waits, by submission or due time. Looks at a bounded number of
 /// jobs of each queue, those with the earliest latestStart.
 /// @param store jobs and configuration.
-/// @param runners all known runners.
+/// @param runners all known runners, with what the last plan has left of their room.
+/// @param starting jobs of which that plan starts something.
 /// @param wallNow wall time.
 /// @param hints what else is known of the tasks.
 /// @param isAdvised asked for steps of queues that need advice; without it they don't start.
 /// @return one wait for each pool that has one, by pool; their `waited` is 0.
 ///
-/// Example: `for (const auto& wait : findPoolWaits(store, runners, wallNow)) { describeWait(wait).write(); }`
+/// Example: `for (const auto& wait : findPoolWaits(store, runners, {}, wallNow)) { log(wait); }`
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
-    Millis wallNow, const StartHints& hints = {}, const AdviceCheck& isAdvised = nullptr);
+    const std::set<JobId>& starting, Millis wallNow, const StartHints& hints = {},
+    const AdviceCheck& isAdvised = nullptr);
 
 } // namespace celeryline
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -67,7 +67,6 @@
         plan();
     answerWaiting();
     answerOverdueIdle();
-    checkWaits();
     auto now = m_clock().steady;
     if (now < m_nextHousekeeping || m_isHousekeeping)
         return;
--- a/src/jobs/JobMasterPlan.cpp
+++ b/src/jobs/JobMasterPlan.cpp
@@ -111,6 +111,7 @@
     auto now = m_clock();
     m_hints.now = now.steady;
     auto starts = planStarts(m_store, m_rooms, now.wall, m_hints, adviceCheck(now.steady));
+    checkWaits(starts);
     if (starts.empty())
         return;
     m_isPlanning = true;
--- a/src/jobs/JobMasterWaits.cpp
+++ b/src/jobs/JobMasterWaits.cpp
@@ -28,7 +28,7 @@
 
 } // namespace
 
-void JobMaster::checkWaits()
+void JobMaster::checkWaits(const std::vector<StartRun>& starts)
 {
     auto now = m_clock();
     if (now.steady < m_nextWaitCheck)
@@ -38,9 +38,12 @@
     if (!m_store.startableJobs().empty()) {
         runners.reserve(m_runners.runners().size());
         for (const auto& [runner, state] : m_runners.runners())
-            runners.push_back({ roomOf(state), refusalOf(runner, state) });
+            runners.push_back({ roomAfterPlan(runner, state), refusalOf(runner, state) });
     }
-    m_waits = findPoolWaits(m_store, runners, now.wall, m_hints, adviceCheck(now.steady));
+    std::set<JobId> starting;
+    for (const auto& start : starts)
+        starting.insert(start.run.task.job);
+    m_waits = findPoolWaits(m_store, runners, starting, now.wall, m_hints, adviceCheck(now.steady));
     noteWaits(now.steady);
     for (const auto& wait : m_waits) {
         if (wait.waited >= reportedAfter)
@@ -48,6 +51,13 @@
     }
 }
 
+RunnerRoom JobMaster::roomAfterPlan(const std::string& runner, const RunnerState& state) const
+{
+    // Room that ends have freed is mostly given away by the next plan, so only what this one leaves counts.
+    const auto* left = m_rooms.find(runner);
+    return left == nullptr ? roomOf(state) : *left;
+}
+
 void JobMaster::noteWaits(Millis now)
 {
     // A step keeps its time while another one is its pool's oldest.
--- a/src/jobs/RoomIndex.cpp
+++ b/src/jobs/RoomIndex.cpp
@@ -27,6 +27,12 @@
     m_rooms.clear();
 }
 
+const RunnerRoom* RoomIndex::find(const std::string& runner) const
+{
+    auto found = m_rooms.find(runner);
+    return found == m_rooms.end() ? nullptr : &found->second;
+}
+
 const RoomPool& RoomIndex::pool(const std::string& service) const
 {
     static const RoomPool empty;
--- a/src/jobs/WaitReport.cpp
+++ b/src/jobs/WaitReport.cpp
@@ -22,20 +22,21 @@
 
 using JobIterator = std::set<StartableJob>::const_iterator;
 
-void findOldest(
-    const JobStore& store, const QueueSettings& queue, JobIterator next, JobIterator end, OldestJobs& oldest)
+void findOldest(const JobStore& store, const std::set<JobId>& starting, const QueueSettings& queue,
+    JobIterator next, JobIterator end, OldestJobs& oldest)
 {
     for (std::size_t seen = 0; next != end && seen < longestSearch; ++next, ++seen) {
         const auto* job = store.findJob(next->id);
         auto& known = oldest[queue.service];
-        if (known.job != nullptr && dueTime(*known.job) <= dueTime(*job))
+        bool isOlder = known.job == nullptr || dueTime(*job) < dueTime(*known.job);
+        if (!isOlder || starting.count(next->id) != 0)
             continue;
         if (auto task = waitingTaskOf(*job))
             known = { job, &queue, *task };
     }
 }
 
-OldestJobs findOldest(const JobStore& store)
+OldestJobs findOldest(const JobStore& store, const std::set<JobId>& starting)
 {
     OldestJobs oldest;
     for (const auto& [key, jobs] : store.startableJobs()) {
@@ -43,8 +44,8 @@
         if (queue == nullptr)
             continue;
         auto limited = jobs.lower_bound({ false, { std::numeric_limits<std::int64_t>::min() }, {}, {} });
-        findOldest(store, *queue, jobs.begin(), limited, oldest);
-        findOldest(store, *queue, limited, jobs.end(), oldest);
+        findOldest(store, starting, *queue, jobs.begin(), limited, oldest);
+        findOldest(store, starting, *queue, limited, jobs.end(), oldest);
     }
     return oldest;
 }
@@ -160,10 +161,10 @@
 }
 
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
-    Millis wallNow, const StartHints& hints, const AdviceCheck& isAdvised)
+    const std::set<JobId>& starting, Millis wallNow, const StartHints& hints, const AdviceCheck& isAdvised)
 {
     std::vector<PoolWait> waits;
-    for (const auto& [pool, oldest] : findOldest(store)) {
+    for (const auto& [pool, oldest] : findOldest(store, starting)) {
         if (oldest.job == nullptr)
             continue;
         const auto& spec = oldest.job->spec.steps[oldest.task.step];
--- a/test/JobMasterWaitsTest.cpp
+++ b/test/JobMasterWaitsTest.cpp
@@ -106,6 +106,27 @@
         == Counts { { WaitReason::Leaving, 2 }, { WaitReason::Reserved, 1 }, { WaitReason::Silent, 1 } });
 }
 
+// Guards against a line that says that there is room, although the same plan gives it to other tasks.
+TEST_CASE("A wait counts what the plan has left", "[master][waits]")
+{
+    MasterKit kit;
+    kit.report(makeReport("r", 1));
+    kit.moment.steady = kit.moment.steady + Millis { 1000 }; // The next check is due.
+    Millis longAgo { kit.moment.wall.count - 60000 };
+    auto submit = [&](const char* id, Millis submittedAt) {
+        kit.master.request(
+            SubmitJob { makeJob(id, { makeStep(1, 4000) }), submittedAt }, [](RequestOutcome) {});
+    };
+    kit.log.commitsAtOnce = false; // The starts of the plan are still being committed.
+    submit("expired", longAgo);
+    submit("new", kit.moment.wall);
+    kit.log.commit();
+    kit.master.tick();
+    REQUIRE(kit.master.waits().size() == 1);
+    REQUIRE(kit.master.waits()[0].task.job == "expired");
+    REQUIRE(kit.master.waits()[0].runners == Counts { { WaitReason::LittleCpu, 1 } });
+}
+
 // Guards against a wait that goes on in the metric after the task started or leadership was lost, and against
 // one that begins anew each time another job is the pool's oldest.
 TEST_CASE("A wait lasts from when it was seen until the task starts", "[master][waits]")
--- a/test/WaitReportTest.cpp
+++ b/test/WaitReportTest.cpp
@@ -41,7 +41,7 @@
 {
     auto store = emptyStore();
     submit(store, makeJob("a", { step }));
-    auto waits = findPoolWaits(store, runners, wall, hints);
+    auto waits = findPoolWaits(store, runners, {}, wall, hints);
     REQUIRE(waits.size() == 1);
     return waits[0].runners;
 }
@@ -109,9 +109,9 @@
     auto store = emptyStore(true);
     submit(store, makeJob("a", { makeStep(1) }));
     std::vector<PoolRunner> runners { makeRunner("named"), makeRunner("r") };
-    REQUIRE(findPoolWaits(store, runners, wall)[0].runners == Counts { { WaitReason::NoAdvice, 2 } });
+    REQUIRE(findPoolWaits(store, runners, {}, wall)[0].runners == Counts { { WaitReason::NoAdvice, 2 } });
     auto isAdvised = [](const TaskName&, const std::string& runner) { return runner == "named"; };
-    REQUIRE(findPoolWaits(store, runners, wall, {}, isAdvised)[0].runners
+    REQUIRE(findPoolWaits(store, runners, {}, wall, {}, isAdvised)[0].runners
         == Counts { { WaitReason::HasRoom, 1 }, { WaitReason::NoAdvice, 1 } });
 }
 
@@ -120,7 +120,7 @@
 TEST_CASE("The oldest job of which nothing runs is reported", "[waits]")
 {
     auto store = emptyStore();
-    REQUIRE(findPoolWaits(store, { makeRunner("r") }, wall).empty());
+    REQUIRE(findPoolWaits(store, { makeRunner("r") }, {}, wall).empty());
     auto slow = makeStep(1);
     slow.estimate = { 90000 };
     submit(store, makeJob("started", { makeStep(2) }), { wall.count - 9000 });
@@ -128,7 +128,7 @@
     submit(store, makeJob("newer", { slow }), { wall.count - 4000 });
     submit(store, makeJob("oldest", { makeStep(3), makeStep(1) }), { wall.count - 5000 });
     submit(store, makeJob("newest", { makeStep(1) }));
-    auto waits = findPoolWaits(store, {}, wall);
+    auto waits = findPoolWaits(store, {}, {}, wall);
     REQUIRE(waits.size() == 1);
     REQUIRE(waits[0].pool == "pool");
     REQUIRE(waits[0].task == TaskName { "oldest", 0, 0, 0 });
@@ -153,7 +153,7 @@
         store.apply(EndRun { { task, 1 }, RunEnd::Done, "" }, wall);
     }
     REQUIRE(waitingTaskOf(*store.findJob("a")) == TaskName { "a", 0, 1, 1 });
-    REQUIRE(findPoolWaits(store, {}, wall)[0].tasksWaiting == 1);
+    REQUIRE(findPoolWaits(store, {}, {}, wall)[0].tasksWaiting == 1);
 }
 
 // Guards against fields of a log line that overwrite each other.
