--- a/include/celeryline/jobs/AdviceBook.h
+++ b/include/celeryline/jobs/AdviceBook.h
@@ -36,6 +36,11 @@
     /// @return the ticket with which a runner may run the step; null without a valid one.
     const std::string* ticket(const TaskName& step, const std::string& runner, Millis now) const;
 
+    /// Drops the tickets of a runner, whose life is over. A step without another ticket is asked for again.
+    /// @param runner its id.
+    /// @param now steady time.
+    void forgetRunner(const std::string& runner, Millis now);
+
     /// Drops steps that nobody asks for any more.
     /// @param isOver says of a task of a step whether the step is over.
     void forgetEnded(const std::function<bool(const TaskName&)>& isOver);
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -57,6 +57,7 @@
 struct RunnerUse {
     Resources reserved;
     std::vector<RunName> lasting; ///< Runs of long-running tasks.
+    std::size_t runs = 0; ///< All of them.
     bool isEmpty = true; ///< It holds nothing, and no start there is under way.
 };
 
@@ -176,6 +177,8 @@
     RunnerRoom roomOf(const RunnerState& state) const;
     AdviceCheck adviceCheck(Millis now) const;
     void refreshRooms();
+    /// Lets quarantined runners take one task at a time where a pool has no other runner that takes any.
+    void tryQuarantinedPools();
     void checkWaits(const std::vector<StartRun>& starts);
     RunnerRoom roomAfterPlan(const std::string& runner, const RunnerState& state) const;
     void noteWaits(Millis now);
--- a/include/celeryline/jobs/RunnerTrust.h
+++ b/include/celeryline/jobs/RunnerTrust.h
@@ -37,6 +37,10 @@
     /// @return whether it may get tasks.
     WorkerTrust trust(const RunnerLife& life) const;
 
+    /// @param life a runner.
+    /// @return steady time at which its present state of trust began; 0 if nothing is known of it.
+    Millis since(const RunnerLife& life) const;
+
     /// @param life a runner.
     /// @return failures there since the last task that ended well.
     std::uint32_t failuresInARow(const RunnerLife& life) const;
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -71,8 +71,10 @@
         std::uint64_t wave = 0; ///< 0 for a move.
         std::string pool; ///< The new pool of a move.
         Stage stage = Stage::Emptying;
-        Millis since; ///< Steady time at which the stage began, or something of the machine last ended in it.
-        Resources held {}; ///< What its runner held when it was last looked at.
+        /// Steady time at which the stage began. For a machine that is emptied for upkeep, when anything but
+        /// waiting for its long-running tasks last happened.
+        Millis since;
+        std::size_t held = 0; ///< Runs that its runner held when it was last looked at.
     };
 
     /// What is known of a machine.
@@ -87,7 +89,8 @@
     void logBalance(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
     void planWaves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
     void planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& spare);
-    void noteAbsent(std::uint64_t wave, const std::string& machine);
+    bool noteAbsent(std::uint64_t wave, const std::string& machine);
+    bool isBegun(const std::string& machine, const Task& task) const;
     void planMoves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
     std::vector<PoolDemand> demands();
     std::vector<PoolMachine> poolMachines() const;
@@ -112,8 +115,9 @@
     void noteAnswer();
     void noteAway();
     bool isPaused(const std::string& machine) const;
-    bool mustGiveUp(Task& task, const Resources& held);
+    bool mustGiveUp(Task& task, const RunnerUse& use);
     void giveUp(const std::string& machine, Task& task);
+    void release(const std::string& machine, Task& task);
     MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
     MachineLease lease() const { return { m_options.holder, m_log.term() }; }
 
--- a/src/jobs/AdviceBook.cpp
+++ b/src/jobs/AdviceBook.cpp
@@ -6,6 +6,7 @@
 /// A ticket must still be valid when the order with it reaches the runner.
 constexpr Millis ticketMargin { 300 };
 constexpr Millis pauseAfterFailure { 200 };
+constexpr Millis pauseAfterRefusal { 1000 };
 
 } // namespace
 
@@ -40,7 +41,9 @@
     }
     entry.advice = *advice;
     entry.validUntil = askedAt + advice->validFor;
-    entry.askAgainAt = entry.validUntil - ticketMargin;
+    // No runner that was asked for may run the step; others may come.
+    entry.askAgainAt
+        = entry.advice.tickets.empty() ? now + pauseAfterRefusal : entry.validUntil - ticketMargin;
 }
 
 const std::string* AdviceBook::ticket(const TaskName& step, const std::string& runner, Millis now) const
@@ -52,6 +55,14 @@
     return ticket == found->second.advice.tickets.end() ? nullptr : &ticket->second;
 }
 
+void AdviceBook::forgetRunner(const std::string& runner, Millis now)
+{
+    for (auto& [key, entry] : m_steps) {
+        if (entry.advice.tickets.erase(runner) != 0 && entry.advice.tickets.empty())
+            entry.askAgainAt = now;
+    }
+}
+
 void AdviceBook::forgetEnded(const std::function<bool(const TaskName&)>& isOver)
 {
     for (auto it = m_steps.begin(); it != m_steps.end();) {
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -113,6 +113,7 @@
     const auto* state = m_runners.accept(std::move(report), hold, m_clock().steady);
     if (state != nullptr && isNew) {
         m_mustPlan = true;
+        m_advice.forgetRunner(state->report.life.runner, m_clock().steady);
         Event("runner-found")
             .with("runner", state->report.life.runner)
             .with("born", state->report.life.born)
@@ -187,8 +188,10 @@
 {
     Event("runner-left").with("runner", runner).write();
     m_runners.leave(runner, m_clock().steady);
+    m_advice.forgetRunner(runner, m_clock().steady);
     m_changedRunners.insert(runner);
 }
+
 void JobMaster::answer(const PendingReport& pending)
 {
     // The process may have been frozen since the report came; without its lease it must order nothing.
@@ -301,11 +304,11 @@
     auto wall = m_clock().wall;
     for (const auto& id : m_store.openJobs()) {
         const auto& job = *m_store.findJob(id);
-        if (job.spec.occurrences == 0 || job.opened >= job.spec.occurrences)
-            continue;
-        Millis due { job.spec.firstDue.count + job.spec.period.count * job.opened };
-        if (wall >= due)
-            commands.push_back(OpenOccurrence { id, job.opened });
+        for (auto next = job.opened; next < job.spec.occurrences; ++next) {
+            if (wall < Millis { job.spec.firstDue.count + job.spec.period.count * next })
+                break;
+            commands.push_back(OpenOccurrence { id, next });
+        }
     }
     if (!commands.empty())
         m_log.propose(commands, [this](bool) { m_mustPlan = true; });
--- a/src/jobs/JobMasterHealth.cpp
+++ b/src/jobs/JobMasterHealth.cpp
@@ -94,7 +94,8 @@
     const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
     if (queue == nullptr)
         return false;
-    if (spec.isSpeculative) {
+    // A copy needs a ticket of its own, which nobody asks for while the step has no task that waits.
+    if (spec.isSpeculative && !queue->needsAdvice) {
         m_hints.copies.insert(task);
         return true;
     }
--- a/src/jobs/JobMasterPlan.cpp
+++ b/src/jobs/JobMasterPlan.cpp
@@ -7,6 +7,12 @@
 #include <utility>
 
 namespace celeryline {
+namespace {
+
+/// A pool without another runner waits at most so long for those in quarantine; later ones last longer.
+constexpr Millis longestExclusion { 2500 };
+
+} // namespace
 
 Resources JobMaster::reservedOn(const RunnerLife& life) const
 {
@@ -70,6 +76,7 @@
         m_rooms.clear();
         for (const auto& [runner, state] : m_runners.runners())
             refresh(runner, state);
+        tryQuarantinedPools();
     } else {
         for (const auto& runner : m_changedRunners) {
             auto found = m_runners.runners().find(runner);
@@ -84,6 +91,24 @@
     m_changedRunners.clear();
 }
 
+void JobMaster::tryQuarantinedPools()
+{
+    std::vector<RunnerRoom> rooms;
+    auto now = m_clock().steady;
+    for (const auto& [runner, state] : m_runners.runners()) {
+        const auto* held = m_store.findHolding(state.report.life);
+        bool isTrying = held != nullptr && held->runs.size() > held->lasting;
+        bool isOnlyChoice = m_rooms.pool(state.report.service).empty();
+        bool isDue = now >= m_trust.since(state.report.life) + longestExclusion;
+        if (isOnlyChoice && isDue && !isTrying && refusalOf(runner, state) == WaitReason::Quarantine)
+            rooms.push_back(roomOf(state));
+    }
+    for (auto& room : rooms) {
+        room.takesOneTask = true;
+        m_rooms.set(std::move(room));
+    }
+}
+
 AdviceCheck JobMaster::adviceCheck(Millis now) const
 {
     return [this, now](const TaskName& step, const std::string& runner) {
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -22,6 +22,7 @@
     for (auto it = all.lower_bound({ runner, {} }); it != all.end() && it->first.runner == runner; ++it) {
         use.isEmpty = false;
         use.reserved += it->second.reserved;
+        use.runs += it->second.runs.size();
         if (it->second.lasting == 0)
             continue;
         for (const auto& run : it->second.runs) {
--- a/src/jobs/RunnerTrust.cpp
+++ b/src/jobs/RunnerTrust.cpp
@@ -128,6 +128,12 @@
     return found == m_runners.end() ? WorkerTrust::Trusted : found->second.record.trust;
 }
 
+Millis RunnerTrust::since(const RunnerLife& life) const
+{
+    auto found = m_runners.find(life);
+    return found == m_runners.end() ? Millis {} : found->second.record.since;
+}
+
 std::uint32_t RunnerTrust::failuresInARow(const RunnerLife& life) const
 {
     auto found = m_runners.find(life);
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -182,8 +182,10 @@
     auto firstSeen = m_machines.empty() ? m_clock().steady - m_options.freshTime : m_clock().steady;
     for (const auto& info : machines) {
         auto found = m_machines.find(info.machine);
-        // While something is done to a machine, the list may be older than what was ordered.
-        bool isInWork = m_tasks.count(info.machine) != 0 && found != m_machines.end();
+        // After an order the list may be older than what was ordered.
+        auto task = m_tasks.find(info.machine);
+        bool isInWork
+            = task != m_tasks.end() && task->second.stage != Stage::Emptying && found != m_machines.end();
         Machine machine;
         machine.info = isInWork ? found->second.info : info;
         bool isSamePool = found != m_machines.end() && found->second.info.pool == machine.info.pool;
@@ -397,19 +399,21 @@
         m_tasks[name] = { wave.order.wave, "", Stage::Emptying, m_clock().steady };
 }
 
-void MachineMaster::noteAbsent(std::uint64_t wave, const std::string& machine)
+bool MachineMaster::noteAbsent(std::uint64_t wave, const std::string& machine)
 {
     auto now = m_clock().steady;
     auto since = m_absentSince.emplace(machine, now).first->second;
     if (now < since + goneAfter)
-        return;
+        return false;
     m_absentSince[machine] = now;
     Event("machine-gone")
         .with("machine", machine)
         .with("wave", wave)
         .with("absentMs", goneAfter)
         .writeAlways();
-    m_log.propose({ NoteUpkeep { wave, machine, true, {} } }, [](bool) {});
+    if (wave != 0)
+        m_log.propose({ NoteUpkeep { wave, machine, true, {} } }, [](bool) {});
+    return true;
 }
 
 void MachineMaster::planMoves(
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -2,11 +2,17 @@
 #include "celeryline/machines/MachineMaster.h"
 #include "celeryline/settings/EventLog.h"
 
+#include <algorithm>
+
 namespace celeryline {
 namespace {
 
 /// A machine that can't be emptied in this time stays where it is.
 constexpr Millis longestEmptying { 3000 };
+/// A machine that is due for upkeep waits so long for the next end of a task that ends by itself.
+constexpr Millis longestWaitForEnd { 6000 };
+/// A machine that is due for upkeep and holds only long-running tasks waits so long until one may leave.
+constexpr Millis longestWaitForRecall { 2000 };
 /// Until an order without an answer is sent again.
 constexpr Millis orderRetry { 700 };
 /// A pool of other machines refuses it again, so it is asked rarely.
@@ -44,6 +50,10 @@
     std::vector<std::string> names;
     for (const auto& [name, task] : m_tasks)
         names.push_back(name);
+    // Those first that have waited longest, so that each of them gives its room back in turn.
+    std::stable_sort(names.begin(), names.end(), [this](const std::string& a, const std::string& b) {
+        return m_tasks.at(a).since < m_tasks.at(b).since;
+    });
     for (const auto& name : names) {
         auto found = m_tasks.find(name);
         if (found != m_tasks.end())
@@ -55,8 +65,11 @@
 {
     auto now = m_clock().steady;
     auto known = m_machines.find(machine);
-    if (known == m_machines.end())
+    if (known == m_machines.end()) {
+        if (noteAbsent(task.wave, machine))
+            m_tasks.erase(machine);
         return;
+    }
     auto runner = known->second.info.runner;
     if (task.stage == Stage::Emptying) {
         empty(machine, runner, task);
@@ -87,22 +100,25 @@
     if (use.isEmpty) {
         if (!isQuiet(machine))
             record(machine);
-    } else if (mustGiveUp(task, use.reserved)) {
+    } else if (mustGiveUp(task, use)) {
         giveUp(machine, task);
     } else {
         recallLasting(runner);
     }
 }
 
-bool MachineMaster::mustGiveUp(Task& task, const Resources& held)
+bool MachineMaster::mustGiveUp(Task& task, const RunnerUse& use)
 {
     auto now = m_clock().steady;
-    // The long-running tasks of an upkeep leave one after the other.
-    if (task.wave != 0 && !(held == task.held)) {
-        task.held = held;
+    // The tasks of an upkeep's machine end or leave one after the other.
+    if (task.wave != 0 && use.runs != task.held) {
+        task.held = use.runs;
         task.since = now;
     }
-    if (now < task.since + longestEmptying)
+    auto limit = longestEmptying;
+    if (task.wave != 0)
+        limit = use.runs > use.lasting.size() ? longestWaitForEnd : longestWaitForRecall;
+    if (now < task.since + limit)
         return false;
     if (task.wave == 0)
         return true;
@@ -129,11 +145,21 @@
         .with("pool", task.pool)
         .with("wasOrdered", task.stage == Stage::Ordered)
         .writeAlways();
+    release(machine, task);
+}
+
+bool MachineMaster::isBegun(const std::string& machine, const Task& task) const
+{
     auto wave = m_store.waves().find(task.wave);
-    if (wave != m_store.waves().end() && wave->second.begun.count(machine) != 0) {
+    return wave != m_store.waves().end() && wave->second.begun.count(machine) != 0;
+}
+
+void MachineMaster::release(const std::string& machine, Task& task)
+{
+    if (isBegun(machine, task)) {
         // It may be down for its upkeep, and counts as such until that is known.
         task.stage = Stage::Emptying;
-        task.since = now + pauseAfterEmptying;
+        task.since = std::max(m_clock().steady, m_pausedUntil[machine]);
     } else {
         m_tasks.erase(machine);
     }
@@ -156,16 +182,20 @@
         note = NoteUpkeep { task.wave, machine, false, nextOrder() };
     m_log.propose({ note }, [this, machine](bool isCommitted) {
         auto found = m_tasks.find(machine);
-        if (isCommitted && found != m_tasks.end())
+        if (found == m_tasks.end())
+            return;
+        // The process may have been frozen; without its lease another instance may give orders. If it gets
+        // the lease back, the machine is looked at anew.
+        if (isCommitted && m_log.isLeading()) {
             order(machine, found->second);
+        } else {
+            found->second.stage = Stage::Emptying;
+        }
     });
 }
 
 void MachineMaster::order(const std::string& machine, Task& task)
 {
-    // The process may have been frozen; without its lease another instance may give orders.
-    if (!m_log.isLeading())
-        return;
     task.stage = Stage::Ordered;
     task.since = m_clock().steady;
     auto done = [this, machine, term = m_term](MachineOutcome outcome) {
@@ -204,6 +234,10 @@
         m_refusedUntil[machine] = m_clock().steady + refusalKept;
     if (outcome == MachineOutcome::Busy)
         m_pausedUntil[machine] = m_clock().steady + pauseWhileBusy;
+    if (outcome == MachineOutcome::Busy) {
+        release(machine, task);
+        return;
+    }
     if (outcome != MachineOutcome::Done) {
         m_tasks.erase(found);
         publishReserved();
--- /dev/null
+++ b/test/StalledJobTest.cpp
@@ -0,0 +1,151 @@
+// What keeps a task or an occurrence from starting must end by itself.
+#include "ProgressKit.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace celeryline;
+using namespace celeryline::test;
+
+namespace {
+
+/// An advisor that approves all runners that it is asked for, for a long time.
+class GenerousAdvisor final : public PlacementAdvisor {
+public:
+    void ask(const TaskName&, const std::vector<std::string>& runners, Callback done) override
+    {
+        PlacementAdvice advice;
+        for (const auto& runner : runners)
+            advice.tickets[runner] = "ticket" + std::to_string(++calls);
+        advice.validFor = { 30000 };
+        done(advice);
+    }
+
+    int calls = 0;
+};
+
+void requireAdvice(MasterKit& kit)
+{
+    auto configuration = makeConfiguration(2);
+    configuration.queues.front().needsAdvice = true;
+    kit.store.apply(AcceptConfiguration { configuration }, {});
+}
+
+} // namespace
+
+// Guards against a task that waits for longer than 3 s because the only runner that could take it is in
+// quarantine for jobs that can't be done.
+TEST_CASE("The only runner of a pool is tried again within three seconds", "[progress]")
+{
+    MasterKit kit;
+    kit.store.apply(AcceptConfiguration { makeConfiguration(2, 1) }, {});
+    SmallRunner runner("r");
+    play(kit, { &runner }, 500);
+    runner.fails = true; // Jobs that fail by their own fault.
+    for (int i = 0; i < 12; ++i) {
+        auto id = "bad" + std::to_string(i);
+        kit.submit(makeJob(id, { makeStep(1) }));
+        for (int turn = 0; turn < 800 && kit.store.findJob(id)->phase == JobPhase::Open; ++turn)
+            play(kit, { &runner }, turnMs);
+    }
+    runner.fails = false;
+    std::int64_t waited = 0;
+    kit.submit(makeJob("waiting", { makeStep(1) }));
+    while (waited < 200000 && play(kit, { &runner }, turnMs).count("waiting") == 0)
+        waited += turnMs;
+    INFO("waited " << waited);
+    REQUIRE(waited <= 3000);
+}
+
+// Guards against a step that waits until its advice is out of date, because the only runner that it was asked
+// for is gone; the service isn't asked for the runner that has come.
+TEST_CASE("Advice is asked for anew when no approved runner is left", "[progress]")
+{
+    MasterKit kit;
+    GenerousAdvisor advisor;
+    requireAdvice(kit);
+    kit.master.setAdvisor(advisor);
+    SmallRunner old("old");
+    play(kit, { &old }, 1000);
+    auto second = makeStep(1);
+    second.after = { 0 };
+    kit.submit(makeJob("job", { makeStep(1), second }));
+    // Both steps were asked for by the first plan.
+    auto report = makeReport("old", ++old.sequence);
+    auto orders = kit.report(report);
+    REQUIRE(orders->starts.size() == 1);
+    kit.master.leave("old");
+    SmallRunner fresh("fresh");
+    REQUIRE(play(kit, { &fresh }, 6000).count("job") == 1);
+}
+
+// Guards against a start with the ticket of a runner's earlier life, which the runner rejects.
+TEST_CASE("A ticket isn't used for a later life of its runner", "[progress]")
+{
+    MasterKit kit;
+    GenerousAdvisor advisor;
+    requireAdvice(kit);
+    kit.master.setAdvisor(advisor);
+    kit.report(makeReport("r", 1));
+    kit.submit(makeJob("job", { makeStep(1) }));
+    auto first = kit.report(makeReport("r", 2));
+    REQUIRE(first->starts.size() == 1);
+    kit.advance({ 500 });
+    kit.report(makeReport("r", 1, 2)); // A later life under the same id.
+    kit.advance({ 500 });
+    auto again = kit.report(makeReport("r", 2, 2));
+    REQUIRE(again->starts.size() == 1);
+    REQUIRE(again->starts[0].ticket != first->starts[0].ticket);
+}
+
+// Guards against a task that hangs for ever: it allows copies, and a queue that needs advice gets none.
+TEST_CASE("A task with copies that stands still begins again on a queue that needs advice", "[progress]")
+{
+    MasterKit kit;
+    GenerousAdvisor advisor;
+    requireAdvice(kit);
+    kit.master.setAdvisor(advisor);
+    auto step = makeStep(1);
+    step.isSpeculative = true;
+    std::uint64_t sequence = 0;
+    kit.report(makeReport("a", ++sequence));
+    kit.report(makeReport("b", sequence));
+    kit.submit(makeJob("job", { step }));
+    std::vector<std::pair<std::string, StartOrder>> starts;
+    for (int i = 0; i < 120; ++i) {
+        ++sequence;
+        for (const auto* id : { "a", "b" }) {
+            auto report = makeReport(id, sequence);
+            for (const auto& [runner, start] : starts) {
+                if (runner == id)
+                    report.running.push_back(running(start, 10)); // It makes no progress.
+            }
+            auto orders = kit.report(report);
+            for (const auto& start : orders->starts)
+                starts.push_back({ id, start });
+            if (!orders->stops.empty())
+                return; // It is replaced.
+        }
+        kit.advance({ 250 });
+    }
+    REQUIRE(starts.size() > 1);
+}
+
+// Guards against due occurrences that are opened one in each round of housekeeping, so that they fall behind.
+TEST_CASE("Occurrences that are due are opened, however many", "[progress]")
+{
+    MasterKit kit;
+    auto job = makeJob("often", { makeStep(1) });
+    job.occurrences = 50;
+    job.firstDue = kit.moment.wall;
+    job.period = { 200 };
+    kit.submit(job);
+    for (int i = 0; i < 200; ++i)
+        kit.advance({ 50 });
+    REQUIRE(kit.store.findJob("often")->opened >= 49);
+}
