--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/jobs/StartPlan.h"
 
+#include "celeryline/jobs/RoomLimits.h"
+
 #include "celeryline/jobs/TaskFit.h"
 
 #include <algorithm>
@@ -18,34 +20,6 @@
 /// need as much as a task that has just found none are not searched for, and don't count.
 constexpr int longestSearch = 256;
 
-bool fits(const Resources& demand, const Resources& room)
-{
-    return demand.cpuMilli <= room.cpuMilli && demand.memoryMb <= room.memoryMb
-        && demand.accelerators <= room.accelerators;
-}
-
-/// The smallest reservations that found no room in a plan. Room only shrinks in the course of a plan, so what
-/// needs as much finds none either.
-class RoomLimits {
-public:
-    bool excludes(const Resources& demand) const
-    {
-        return std::any_of(
-            m_limits.begin(), m_limits.end(), [&](const Resources& limit) { return fits(limit, demand); });
-    }
-
-    void add(const Resources& demand)
-    {
-        m_limits.erase(std::remove_if(m_limits.begin(), m_limits.end(),
-                           [&](const Resources& limit) { return fits(demand, limit); }),
-            m_limits.end());
-        m_limits.push_back(demand);
-    }
-
-private:
-    std::vector<Resources> m_limits; ///< None of them is as large as another one in all resources.
-};
-
 /// @return how many tasks of a step each runner holds.
 std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
 {
