--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -141,6 +141,10 @@
     /// @return whether it is being stopped.
     bool recall(const RunName& run);
 
+    /// @param run a run of a long-running task.
+    /// @return whether no other runner that takes tasks has room for it.
+    bool lacksRoomElsewhere(const RunName& run) const;
+
     /// Ends what a runner held, after its machine was taken away from under it.
     /// @param runner id of the runner.
     void endRunner(const std::string& runner);
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -115,7 +115,8 @@
     void noteAnswer();
     void noteAway();
     bool isPaused(const std::string& machine) const;
-    bool mustGiveUp(Task& task, const RunnerUse& use);
+    bool mustGiveUp(const std::string& machine, Task& task, const RunnerUse& use);
+    bool isRoomWanted(const std::string& machine, const RunnerUse& use) const;
     void giveUp(const std::string& machine, Task& task);
     void release(const std::string& machine, Task& task);
     MachineOrder nextOrder() const { return { m_options.holder, m_term, m_clock().steady }; }
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -69,6 +69,17 @@
     return queue != nullptr && hasRoomFor(m_rooms, *spec, step, queue->service);
 }
 
+bool JobMaster::lacksRoomElsewhere(const RunName& run) const
+{
+    const auto* job = m_store.findJob(run.task.job);
+    const auto* spec = m_store.findStep(run.task);
+    if (job == nullptr || spec == nullptr || job->phase != JobPhase::Open)
+        return false;
+    const auto* queue = findQueue(m_store.configuration(), job->spec.queue);
+    const auto& step = job->occurrences.at(run.task.occurrence)[run.task.step];
+    return queue == nullptr || !hasRoomFor(m_rooms, *spec, step, queue->service);
+}
+
 bool JobMaster::recall(const RunName& run)
 {
     if (m_recalled.count(run) != 0)
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -13,6 +13,8 @@
 constexpr Millis longestWaitForEnd { 6000 };
 /// A machine that is due for upkeep and holds only long-running tasks waits so long until one may leave.
 constexpr Millis longestWaitForRecall { 2000 };
+/// A task that has waited for less may start with the next plan.
+constexpr Millis shortestWait { 1000 };
 /// Until an order without an answer is sent again.
 constexpr Millis orderRetry { 700 };
 /// A pool of other machines refuses it again, so it is asked rarely.
@@ -100,14 +102,14 @@
     if (use.isEmpty) {
         if (!isQuiet(machine))
             record(machine);
-    } else if (mustGiveUp(task, use)) {
+    } else if (mustGiveUp(machine, task, use)) {
         giveUp(machine, task);
     } else {
         recallLasting(runner);
     }
 }
 
-bool MachineMaster::mustGiveUp(Task& task, const RunnerUse& use)
+bool MachineMaster::mustGiveUp(const std::string& machine, Task& task, const RunnerUse& use)
 {
     auto now = m_clock().steady;
     // The tasks of an upkeep's machine end or leave one after the other.
@@ -115,13 +117,13 @@
         task.held = use.runs;
         task.since = now;
     }
-    auto limit = longestEmptying;
-    if (task.wave != 0)
-        limit = use.runs > use.lasting.size() ? longestWaitForEnd : longestWaitForRecall;
-    if (now < task.since + limit)
-        return false;
     if (task.wave == 0)
-        return true;
+        return now >= task.since + longestEmptying;
+    bool waitsForEnd = use.runs > use.lasting.size();
+    if (now < task.since + (waitsForEnd ? longestWaitForEnd : longestWaitForRecall))
+        return false;
+    if (!waitsForEnd && !isRoomWanted(machine, use))
+        return false;
     // The room of one machine may be all that the tasks of the others lack.
     if (now < m_nextPause)
         return false;
@@ -129,6 +131,19 @@
     return true;
 }
 
+bool MachineMaster::isRoomWanted(const std::string& machine, const RunnerUse& use) const
+{
+    // The long-running tasks of a step leave in turn; that alone needs no room.
+    bool lacksRoom = std::any_of(use.lasting.begin(), use.lasting.end(),
+        [this](const RunName& run) { return m_jobs.lacksRoomElsewhere(run); });
+    const auto& pool = m_machines.at(machine).info.pool;
+    const auto& waits = m_jobs.waits();
+    return lacksRoom || std::any_of(waits.begin(), waits.end(), [&](const PoolWait& wait) {
+        bool findsRoom = !wait.isGang && wait.runners.count(WaitReason::HasRoom) != 0;
+        return wait.pool == pool && wait.waited >= shortestWait && !findsRoom;
+    });
+}
+
 bool MachineMaster::isPaused(const std::string& machine) const
 {
     auto paused = m_pausedUntil.find(machine);
