--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -71,8 +71,8 @@
         std::uint64_t wave = 0; ///< 0 for a move.
         std::string pool; ///< The new pool of a move.
         Stage stage = Stage::Emptying;
-        /// Steady time at which the stage began. For a machine that is emptied for upkeep, when anything but
-        /// waiting for its long-running tasks last happened.
+        /// Steady time at which the stage began. For a machine that is emptied for upkeep, when the number of
+        /// its runs last changed.
         Millis since;
         std::size_t held = 0; ///< Runs that its runner held when it was last looked at.
     };
