--- /dev/null
+++ b/test/ProgressRunners.cpp
@@ -0,0 +1,213 @@
+// What the runners of a ProgressSimulation do.
+#include "ProgressSimulationParts.h"
+
+namespace celeryline::test {
+namespace {
+
+constexpr std::int64_t answerLimitMs = 1000;
+constexpr std::int64_t idleReportMs = 1500;
+constexpr std::int64_t afterEndMs = 50;
+constexpr std::int64_t gangWaitMs = 1500;
+constexpr double slowClock = 1.02; ///< Of runners' clocks, which measure leases.
+constexpr double slowness = 8; ///< Of a runner in trouble.
+
+} // namespace
+
+bool isPoison(const JobId& id) { return id.text().rfind("poison", 0) == 0; }
+
+ProgressSimulation::Runner* ProgressSimulation::runnerOf(const Machine& machine)
+{
+    auto found = m_runners.find(machine.runner);
+    return found == m_runners.end() ? nullptr : found->second.get();
+}
+
+const ProgressSimulation::Runner* ProgressSimulation::runnerOf(const Machine& machine) const
+{
+    auto found = m_runners.find(machine.runner);
+    return found == m_runners.end() ? nullptr : found->second.get();
+}
+
+void ProgressSimulation::end(Runner& runner, std::size_t index, RunEnd how)
+{
+    auto run = runner.work[index].run;
+    runner.work.erase(runner.work.begin() + static_cast<std::ptrdiff_t>(index));
+    runner.ended.push_back({ ++runner.lastEnd, run, how, "" });
+    auto& highest = runner.highestOver[run.task];
+    highest = std::max(highest, run.run);
+    runner.nextReport = std::min(runner.nextReport, m_now + afterEndMs);
+}
+
+bool ProgressSimulation::stepGang(Runner& runner, Work& work)
+{
+    std::uint32_t present = 0;
+    for (const auto& [id, other] : m_runners) {
+        for (const auto& member : other->work) {
+            const auto& a = member.run.task;
+            const auto& b = work.run.task;
+            present += a.job == b.job && a.step == b.step && member.run.run == work.run.run ? 1 : 0;
+        }
+    }
+    work.hasArrived = work.hasArrived || present == work.members;
+    auto index = static_cast<std::size_t>(&work - runner.work.data());
+    if (work.hasArrived && present < work.members) {
+        end(runner, index, RunEnd::Broken);
+        return false;
+    }
+    if (!work.hasArrived && m_now >= work.since + gangWaitMs) {
+        end(runner, index, RunEnd::Alone);
+        return false;
+    }
+    return true;
+}
+
+void ProgressSimulation::stepWork(Runner& runner)
+{
+    auto speed = runner.has(Trouble::Slow, m_now) ? 1 / slowness : 1.0;
+    for (std::size_t i = 0; i < runner.work.size();) {
+        auto& work = runner.work[i];
+        if (work.stopsAt != 0 && m_now >= work.stopsAt) {
+            end(runner, i, RunEnd::Stopped);
+            continue;
+        }
+        if (work.isGang && !stepGang(runner, work))
+            continue;
+        bool isAtWork = !work.hangs && (!work.isGang || work.hasArrived);
+        if (isAtWork)
+            work.doneMs += static_cast<double>(stepMs) * speed * work.rate;
+        if (work.fails && work.doneMs >= work.neededMs / 4) {
+            end(runner, i, RunEnd::Failed);
+        } else if (!work.isLongRunning && work.doneMs >= work.neededMs) {
+            end(runner, i, RunEnd::Done);
+        } else {
+            ++i;
+        }
+    }
+}
+
+void ProgressSimulation::stepRunner(Runner& runner)
+{
+    if (m_now < runner.upAt)
+        return;
+    if (static_cast<double>(m_now) >= runner.leaseUntil) {
+        while (!runner.work.empty())
+            end(runner, 0, RunEnd::Lapsed);
+    }
+    stepWork(runner);
+    if (runner.isReporting && m_now >= runner.reportSentAt + answerLimitMs) {
+        runner.isReporting = false;
+        runner.nextReport = m_now;
+    }
+    if (!runner.isReporting && m_now >= runner.nextReport)
+        sendReport(runner);
+}
+
+void ProgressSimulation::sendReport(Runner& runner)
+{
+    RunnerReport report;
+    report.life = { runner.id, { runner.born } };
+    report.sequence = ++runner.sequence;
+    report.service = runner.pool;
+    report.machine = runner.machine;
+    report.rack = runner.rack;
+    report.capacity = runner.capacity;
+    for (const auto& work : runner.work) {
+        auto percent = static_cast<std::int64_t>(100 * work.doneMs / work.neededMs);
+        report.running.push_back({ work.run, "", std::min<std::int64_t>(100, percent), 0 });
+    }
+    report.ended = runner.ended;
+    runner.isReporting = true;
+    runner.reportSentAt = m_now;
+    runner.nextReport = m_now + idleReportMs;
+    if (runner.has(Trouble::Silent, m_now))
+        return;
+    auto done = [this, life = report.life, sequence = report.sequence, sentAt = m_now](
+                    std::optional<RunnerOrders> orders) {
+        // In calm nothing is lost.
+        if (m_now < m_lastFault && below(50) == 0)
+            return;
+        after(1 + static_cast<std::int64_t>(below(4)), [this, life, sequence, sentAt, orders] {
+            auto found = m_runners.find(life.runner);
+            if (found == m_runners.end() || found->second->born != life.born.count)
+                return;
+            auto& runner = *found->second;
+            if (!runner.isReporting || runner.sequence != sequence || runner.has(Trouble::Silent, m_now))
+                return;
+            runner.isReporting = false;
+            if (orders) {
+                obey(runner, sentAt, *orders);
+            } else {
+                runner.nextReport = m_now + 20;
+            }
+        });
+    };
+    after(1 + static_cast<std::int64_t>(below(4)), [this, report, done] {
+        if (leading() == nullptr) {
+            done(std::nullopt);
+        } else {
+            leading()->master.report(report, done);
+        }
+    });
+}
+
+void ProgressSimulation::obey(Runner& runner, std::int64_t sentAt, const RunnerOrders& orders)
+{
+    runner.nextReport = m_now + (orders.nextReport.count > 0 ? orders.nextReport.count : idleReportMs);
+    if (orders.hold.count == 0 || orders.fence < runner.fence)
+        return;
+    runner.fence = orders.fence;
+    runner.leaseUntil = std::max(
+        runner.leaseUntil, static_cast<double>(sentAt) + slowClock * static_cast<double>(orders.hold.count));
+    auto& ended = runner.ended;
+    ended.erase(std::remove_if(ended.begin(), ended.end(),
+                    [&](const ReportedEnd& end) { return end.number <= orders.acknowledgedEnds; }),
+        ended.end());
+    if (!ended.empty())
+        runner.nextReport = std::min(runner.nextReport, m_now + afterEndMs);
+    for (const auto& stop : orders.stops) {
+        auto found = std::find_if(
+            runner.work.begin(), runner.work.end(), [&](const Work& work) { return work.run == stop; });
+        if (found == runner.work.end()) {
+            auto& highest = runner.highestOver[stop.task];
+            highest = std::max(highest, stop.run);
+        } else if (found->stopsAt == 0) {
+            found->stopsAt = m_now + 50 + static_cast<std::int64_t>(below(250));
+        }
+    }
+    for (const auto& rate : orders.rates) {
+        for (auto& work : runner.work) {
+            if (work.run == rate.run)
+                work.rate = static_cast<double>(rate.percent) / 100;
+        }
+    }
+    for (const auto& start : orders.starts)
+        begin(runner, start);
+}
+
+void ProgressSimulation::begin(Runner& runner, const StartOrder& start)
+{
+    bool isHere = std::any_of(
+        runner.work.begin(), runner.work.end(), [&](const Work& work) { return work.run == start.run; });
+    if (isHere || start.run.run <= runner.highestOver[start.run.task])
+        return;
+    const auto* spec = m_store.findStep(start.run.task);
+    if (spec == nullptr)
+        return;
+    ++m_startedRuns;
+    Work work;
+    work.run = start.run;
+    work.since = m_now;
+    auto spread = 80 + static_cast<std::int64_t>(below(41));
+    work.neededMs = static_cast<double>(std::max<std::int64_t>(50, spec->estimate.count * spread / 100));
+    work.isLongRunning = spec->isLongRunning;
+    work.isGang = spec->isGang;
+    work.members = spec->count;
+    work.reserved = reservedBy(*spec);
+    // A task that fills has no progress that is judged, so one that hangs would do so for ever.
+    work.hangs = !spec->isLongRunning && !spec->fills && runner.has(Trouble::Hangs, m_now) && below(2) == 0;
+    work.fails = isPoison(start.run.task.job) || (runner.has(Trouble::Grey, m_now) && below(10) < 9);
+    if (spec->isLongRunning)
+        work.neededMs = 400; // Until it is at work.
+    runner.work.push_back(work);
+}
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/ProgressSimulation.h
@@ -0,0 +1,142 @@
+/// @file
+/// Leaders, machines and runners on a simulated clock, for checks that tasks start while there is room.
+#pragma once
+
+#include "celeryline/jobs/JobMaster.h"
+#include "celeryline/machines/MachineMaster.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace celeryline::test {
+
+/// The real JobMaster, MachineMaster and JobStore with two instances that take turns at leading, a log that
+/// commits after some milliseconds, a provider of machines and runners that obey the protocol. A change of
+/// leader loses some of what was proposed. There is no network.
+class ProgressSimulation {
+public:
+    static constexpr std::int64_t stepMs = 10;
+
+    /// How a runner misbehaves until a moment.
+    enum class Trouble : std::uint8_t { Grey, Hangs, Slow, Silent };
+
+    /// A machine and the runner on it.
+    struct Machine {
+        std::string name;
+        std::string pool;
+        MachineState state = MachineState::Up;
+        std::int64_t upAt = 0; ///< While it is not up.
+        Resources capacity;
+        std::string rack;
+        std::uint64_t fence = 0; ///< Of the newest order.
+        std::string runner; ///< Empty while it is not up.
+        std::uint64_t runnersSoFar = 0;
+    };
+
+    /// @param seed of all random choices.
+    explicit ProgressSimulation(std::uint64_t seed);
+    ~ProgressSimulation();
+
+    /// Adds a pool with a queue "NAME/work/" and a queue "NAME/late/" of lower priority.
+    void addPool(const std::string& name, bool isStandby = false);
+    void addMachine(const std::string& pool, const Resources& capacity);
+    /// Puts the pools in force and begins the first term.
+    void start();
+
+    /// Lets one step of time pass and checks the rules.
+    void step();
+
+    /// Submits a job; it is sent again until it is committed.
+    void submit(const JobSpec& job);
+    void startWave(const StartWave& wave);
+
+    void changeLeader(std::int64_t forMs);
+    void restartRunner(std::size_t machine, std::int64_t forMs);
+    void trouble(std::size_t machine, Trouble trouble, std::int64_t forMs);
+    /// Ends all troubles; runs that hang go on doing so.
+    void calm();
+
+    std::uint64_t below(std::uint64_t limit) { return m_random() % limit; }
+    std::int64_t now() const { return m_now; }
+    /// @return the end of the newest fault.
+    std::int64_t calmSince() const { return m_lastFault; }
+    const std::vector<Machine>& machines() const { return m_machines; }
+    const JobStore& store() const { return m_store; }
+    std::uint64_t startedRuns() const { return m_startedRuns; }
+
+    /// @return the first broken rule with its circumstances; empty without one.
+    const std::string& violation() const { return m_violation; }
+    /// @return accepted jobs with an end that are open.
+    std::vector<JobId> unfinished() const;
+    /// @return the time that the open jobs' work takes on all runners together.
+    std::int64_t backlogMs() const;
+    /// @return why the runners of a pool do not run a task.
+    std::string describe(const TaskName& task) const;
+
+private:
+    class Instance;
+    class Provider;
+    struct Runner;
+    struct Work;
+
+    Moment moment() const { return { { m_now }, { m_now + 1000000 } }; }
+    void after(std::int64_t delay, std::function<void()> action);
+    Instance* leading();
+    void noteFault(std::int64_t until);
+
+    // Machines.
+    Machine& machine(const std::string& name);
+    void stepMachines();
+    void takeDown(Machine& machine, MachineState state, std::int64_t forMs);
+    void bringUp(Machine& machine);
+
+    // Runners.
+    Runner* runnerOf(const Machine& machine);
+    const Runner* runnerOf(const Machine& machine) const;
+    void stepRunner(Runner& runner);
+    void stepWork(Runner& runner);
+    bool stepGang(Runner& runner, Work& work);
+    void end(Runner& runner, std::size_t index, RunEnd how);
+    void sendReport(Runner& runner);
+    void obey(Runner& runner, std::int64_t sentAt, const RunnerOrders& orders);
+    void begin(Runner& runner, const StartOrder& start);
+
+    // Rules.
+    void check();
+    void checkJob(const JobId& id, const JobState& job);
+    void checkLongRunning(const JobId& id, const JobState& job);
+    void fail(const std::string& what, const TaskName& task);
+    bool isSound(const Runner& runner) const;
+    Resources freeOn(const Runner& runner) const;
+    std::int64_t placesFor(const StepSpec& spec, const std::string& pool, const StepState* apartFrom) const;
+    bool isHalfFree(const std::string& pool) const;
+
+    std::mt19937_64 m_random;
+    std::int64_t m_now = 1000;
+    std::multimap<std::int64_t, std::function<void()>> m_events;
+    JobStore m_store;
+    QueueConfiguration m_configuration;
+    std::unique_ptr<Provider> m_provider;
+    std::vector<std::unique_ptr<Instance>> m_instances;
+    int m_leading = -1; ///< -1 while there is no leader.
+    std::uint64_t m_term = 1;
+    std::int64_t m_electionAt = 0;
+    std::vector<Machine> m_machines;
+    std::map<std::string, std::unique_ptr<Runner>> m_runners; ///< By id.
+    std::int64_t m_lastFault = 0;
+    std::map<TaskName, std::int64_t> m_waitsSince; ///< First tasks of steps that wait although there is room.
+    std::string m_violation;
+    std::uint64_t m_startedRuns = 0;
+    std::vector<JobId> m_accepted;
+};
+
+/// @return whether tasks of a job always fail.
+bool isPoison(const JobId& id);
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/ProgressSimulationParts.h
@@ -0,0 +1,214 @@
+/// @file
+/// The parts of a ProgressSimulation: instances with their log, the provider of machines, runners.
+#pragma once
+
+#include "ProgressSimulation.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace celeryline::test {
+
+/// One control process. The state is shared, since all instances apply the same entries.
+class ProgressSimulation::Instance final : public CommandLog {
+public:
+    Instance(ProgressSimulation& world, int number)
+        : m_world(world)
+        , m_number(number)
+        , master({}, world.m_store, *this, [&world] { return world.moment(); })
+        , machines(options(number), master, world.m_store, *this, providerOf(world),
+              [&world] { return world.moment(); })
+    {
+    }
+
+    bool isLeading() const override { return m_world.m_leading == m_number; }
+    std::uint64_t term() const override { return m_world.m_term; }
+
+    void propose(const std::vector<JobCommand>& commands, std::function<void(bool)> done) override
+    {
+        if (!isLeading()) {
+            done(false);
+            return;
+        }
+        m_proposals.push_back(
+            { m_world.m_now + 3 + static_cast<std::int64_t>(m_world.below(8)), commands, std::move(done) });
+    }
+
+    void commitDue()
+    {
+        while (!m_proposals.empty() && m_proposals.front().at <= m_world.m_now) {
+            auto proposal = std::move(m_proposals.front());
+            m_proposals.erase(m_proposals.begin());
+            apply(proposal.commands);
+            proposal.done(true);
+        }
+    }
+
+    /// Loses leadership. Some of what was proposed is committed, which this instance doesn't learn.
+    void lose()
+    {
+        auto proposals = std::move(m_proposals);
+        m_proposals.clear();
+        auto committed = m_world.below(proposals.size() + 1);
+        for (std::size_t i = 0; i < proposals.size(); ++i) {
+            if (i < committed)
+                apply(proposals[i].commands);
+            proposals[i].done(false);
+        }
+    }
+
+private:
+    struct Proposal {
+        std::int64_t at = 0;
+        std::vector<JobCommand> commands;
+        std::function<void(bool)> done;
+    };
+
+    static MachineMasterOptions options(int number)
+    {
+        MachineMasterOptions made;
+        made.holder = "c" + std::to_string(number);
+        return made;
+    }
+
+    static MachineProvider& providerOf(ProgressSimulation& world);
+
+    void apply(const std::vector<JobCommand>& commands)
+    {
+        for (const auto& command : commands) {
+            m_world.m_store.apply(command, m_world.moment().wall);
+            for (auto& instance : m_world.m_instances)
+                instance->machines.noteCommitted(command);
+        }
+    }
+
+    ProgressSimulation& m_world;
+    int m_number;
+    std::vector<Proposal> m_proposals;
+
+public:
+    JobMaster master;
+    MachineMaster machines;
+};
+
+/// The provider: a move takes 1.5 s, an upkeep 2 s.
+class ProgressSimulation::Provider final : public MachineProvider {
+public:
+    explicit Provider(ProgressSimulation& world)
+        : m_world(world)
+    {
+    }
+
+    void list(ListCallback done) override
+    {
+        std::vector<MachineInfo> infos;
+        for (const auto& machine : m_world.m_machines) {
+            infos.push_back(
+                { machine.name, machine.pool, machine.state, "dc", {}, machine.capacity, machine.runner });
+        }
+        m_world.after(2, [done = std::move(done), infos = std::move(infos)] { done(infos); });
+    }
+
+    void move(const std::string& machine, const std::string& pool, const MachineLease& lease,
+        OrderCallback done) override
+    {
+        order(machine, lease, std::move(done), [this, pool](Machine& ordered) {
+            if (ordered.pool == pool)
+                return;
+            m_world.takeDown(ordered, MachineState::Moving, moveMs);
+            ordered.pool = pool;
+        });
+    }
+
+    void beginUpkeep(const std::string& machine, std::uint64_t wave, const MachineLease& lease,
+        OrderCallback done) override
+    {
+        order(machine, lease, std::move(done), [this, machine, wave](Machine& ordered) {
+            if (m_upkeeps.insert({ machine, wave }).second)
+                m_world.takeDown(ordered, MachineState::Upkeep, upkeepMs);
+        });
+    }
+
+private:
+    static constexpr std::int64_t moveMs = 1500;
+    static constexpr std::int64_t upkeepMs = 2000;
+
+    void order(const std::string& name, const MachineLease& lease, OrderCallback done,
+        std::function<void(Machine&)> carryOut)
+    {
+        auto isAnswerLost = m_world.below(50) == 0;
+        m_world.after(
+            2, [this, name, lease, done = std::move(done), carryOut = std::move(carryOut), isAnswerLost] {
+                auto& machine = m_world.machine(name);
+                auto outcome = MachineOutcome::Done;
+                if (lease.fence < machine.fence) {
+                    outcome = MachineOutcome::Refused;
+                } else if (machine.state != MachineState::Up) {
+                    outcome = MachineOutcome::Busy;
+                } else {
+                    machine.fence = lease.fence;
+                    carryOut(machine);
+                }
+                if (isAnswerLost) {
+                    m_world.after(500, [done] { done(MachineOutcome::Unknown); });
+                } else {
+                    done(outcome);
+                }
+            });
+    }
+
+    ProgressSimulation& m_world;
+    std::set<std::pair<std::string, std::uint64_t>> m_upkeeps;
+};
+
+inline MachineProvider& ProgressSimulation::Instance::providerOf(ProgressSimulation& world)
+{
+    return *world.m_provider;
+}
+
+/// A run at work.
+struct ProgressSimulation::Work {
+    RunName run;
+    std::int64_t since = 0;
+    double neededMs = 0;
+    double doneMs = 0;
+    double rate = 1; ///< As ordered, of a task that fills.
+    std::int64_t stopsAt = 0; ///< 0 unless it was told to stop.
+    bool hangs = false;
+    bool fails = false;
+    bool isLongRunning = false;
+    bool isGang = false;
+    bool hasArrived = false; ///< All members of its gang were at work together.
+    std::uint32_t members = 1;
+    Resources reserved;
+};
+
+/// One runner.
+struct ProgressSimulation::Runner {
+    std::string id;
+    std::string machine;
+    std::string pool;
+    std::string rack;
+    Resources capacity;
+    std::int64_t born = 0;
+    std::int64_t upAt = 0;
+    std::uint64_t sequence = 0;
+    std::uint64_t fence = 0;
+    std::uint64_t lastEnd = 0;
+    std::vector<Work> work;
+    std::vector<ReportedEnd> ended;
+    std::map<TaskName, std::uint32_t> highestOver; ///< Highest run of a task that ended or was stopped here.
+    double leaseUntil = 0;
+    std::int64_t nextReport = 0;
+    std::int64_t reportSentAt = 0;
+    bool isReporting = false;
+    std::map<Trouble, std::int64_t> troubles; ///< Until when.
+
+    bool has(Trouble trouble, std::int64_t now) const
+    {
+        auto found = troubles.find(trouble);
+        return found != troubles.end() && now < found->second;
+    }
+};
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/ProgressTest.cpp
@@ -0,0 +1,285 @@
+// Random days over the real JobMaster and MachineMaster: whatever keeps a task from starting ends by itself
+// in bounded time while there is room.
+#include "JobKit.h"
+#include "ProgressSimulation.h"
+
+#include "celeryline/settings/EventLog.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdlib>
+#include <string>
+
+using namespace celeryline;
+using namespace celeryline::test;
+
+namespace {
+
+using Trouble = ProgressSimulation::Trouble;
+
+constexpr int pools = 5;
+/// The finish time of a job after the last request, by the users' rule.
+constexpr std::int64_t finishMs = 14000;
+
+/// CELERYLINE_PROGRESS_SEEDS sets another number of seeds for a longer run by hand.
+std::uint64_t seedCount()
+{
+    const char* text = std::getenv("CELERYLINE_PROGRESS_SEEDS");
+    return text == nullptr ? 30 : std::strtoull(text, nullptr, 10);
+}
+
+/// CELERYLINE_PROGRESS_FIRST sets the first seed.
+std::uint64_t firstSeed()
+{
+    const char* text = std::getenv("CELERYLINE_PROGRESS_FIRST");
+    return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
+}
+
+/// A day: requests and troubles that take turns with times without faults.
+class Day {
+public:
+    explicit Day(std::uint64_t seed)
+        : m_world(seed)
+    {
+        for (int i = 0; i < pools; ++i)
+            m_world.addPool(poolName(i));
+        m_world.addPool("standby", true);
+        for (int i = 0; i < pools; ++i)
+            addMachines(poolName(i), 4 + m_world.below(5));
+        addMachines("standby", 2 + m_world.below(4));
+        m_world.start();
+        m_load = 0.15 + 0.05 * static_cast<double>(m_world.below(7));
+        m_peak = 1 + static_cast<double>(m_world.below(5));
+    }
+
+    ProgressSimulation& world() { return m_world; }
+
+    /// Plays the day and what follows.
+    /// @return the broken rule; empty without one.
+    std::string play()
+    {
+        run(500);
+        if (m_world.below(4) != 0)
+            submitLongRunning();
+        auto endsAt = m_world.now() + 20000 + static_cast<std::int64_t>(m_world.below(20000));
+        while (m_world.now() < endsAt && m_world.violation().empty()) {
+            request();
+            disturb();
+            m_world.step();
+        }
+        m_world.calm();
+        auto deadline = m_world.now() + finishMs + 2 * m_world.backlogMs();
+        while (m_world.now() < deadline && m_world.violation().empty() && !isOver())
+            m_world.step();
+        if (!m_world.violation().empty())
+            return m_world.violation();
+        return describeUnfinished();
+    }
+
+private:
+    static std::string poolName(int number) { return "p" + std::to_string(number); }
+
+    std::uint64_t below(std::uint64_t limit) { return m_world.below(limit); }
+
+    std::int64_t between(std::int64_t low, std::int64_t high)
+    {
+        return low + static_cast<std::int64_t>(below(static_cast<std::uint64_t>(high - low + 1)));
+    }
+
+    void addMachines(const std::string& pool, std::uint64_t count)
+    {
+        for (; count > 0; --count) {
+            std::int64_t cores = below(6) == 0 ? 64000 : 32000;
+            m_world.addMachine(pool, { cores, 4 * cores, 0 });
+        }
+    }
+
+    void run(std::int64_t milliseconds)
+    {
+        for (std::int64_t i = 0; i < milliseconds; i += ProgressSimulation::stepMs)
+            m_world.step();
+    }
+
+    bool isOver()
+    {
+        // Long-running tasks are looked at for as long as they may be away.
+        return m_world.now() > m_world.calmSince() + 11000 && m_world.unfinished().empty();
+    }
+
+    std::string describeUnfinished()
+    {
+        auto open = m_world.unfinished();
+        if (open.empty())
+            return {};
+        auto text = std::to_string(open.size()) + " jobs were not done in time after calm, at "
+            + std::to_string(m_world.now()) + "; calm since " + std::to_string(m_world.calmSince()) + "\n";
+        const auto& job = *m_world.store().findJob(open.front());
+        TaskName task { open.front(), 0, 0, 0 };
+        const auto& steps = job.occurrences.at(0);
+        while (steps[task.step].done == steps[task.step].tasks.size())
+            ++task.step;
+        while (steps[task.step].tasks[task.index].isDone)
+            ++task.index;
+        return text + m_world.describe(task);
+    }
+
+    void submitLongRunning()
+    {
+        for (int i = 0; i < pools; ++i) {
+            if (below(3) == 0)
+                continue;
+            auto step = makeStep(
+                static_cast<std::uint32_t>(between(4, 24)), between(500, 2000), between(10, 40) * 1000);
+            step.isLongRunning = true;
+            step.maxPerRunner = static_cast<std::uint32_t>(between(1, 3));
+            step.mayMiss = static_cast<std::uint32_t>(between(1, 3));
+            // Each task has a place while two of the pool's machines are away.
+            auto most = static_cast<std::uint32_t>(2 * step.maxPerRunner);
+            step.count = std::min(step.count, most);
+            step.estimate = { 1000 };
+            step.targetLatency = { 100 };
+            auto job = makeJob("lasting" + std::to_string(i), { step });
+            job.queue = poolName(i) + "/work/";
+            m_world.submit(job);
+        }
+    }
+
+    StepSpec drawStep()
+    {
+        bool isMemoryHeavy = below(3) == 0;
+        auto cores = isMemoryHeavy ? between(500, 4000) : between(2000, 12000);
+        auto memory = isMemoryHeavy ? between(20, 45) * 1000 : between(2, 20) * 1000;
+        auto step = makeStep(
+            static_cast<std::uint32_t>(below(3) == 0 ? between(1, 16) : between(1, 5)), cores, memory);
+        step.estimate = { between(300, 1600) };
+        switch (below(12)) {
+        case 0:
+            step.maxPerRunner = static_cast<std::uint32_t>(between(1, 3));
+            break;
+        case 1:
+        case 2:
+            step.isSpeculative = true;
+            break;
+        case 3:
+            step.isGang = true;
+            step.count = std::min<std::uint32_t>(step.count, 6);
+            break;
+        case 4:
+            step.sameRack = true;
+            break;
+        case 5:
+            step.fills = true;
+            break;
+        default:
+            break;
+        }
+        return step;
+    }
+
+    void submitJob(int pool)
+    {
+        std::vector<StepSpec> steps;
+        for (auto count = between(1, 4); count > 0; --count) {
+            auto step = drawStep();
+            if (!steps.empty())
+                step.after = { static_cast<std::uint32_t>(steps.size() - 1) };
+            steps.push_back(step);
+        }
+        auto id = (below(40) == 0 ? "poison" : "job") + std::to_string(m_jobs++);
+        auto job = makeJob(id, steps);
+        job.queue = poolName(pool) + (below(3) == 0 ? "/late/" : "/work/");
+        m_world.submit(job);
+    }
+
+    /// Jobs at the load of the moment; each pool has its peak in turn.
+    void request()
+    {
+        if (m_world.now() >= m_peakUntil) {
+            m_peakPool = static_cast<int>(below(pools + 2)); // At times none has one.
+            m_peakUntil = m_world.now() + between(2000, 6000);
+        }
+        for (int i = 0; i < pools; ++i) {
+            // About 50 core-seconds a job, against 6 machines of 32 cores.
+            auto load = i == m_peakPool ? m_peak : m_load;
+            auto jobsPerSecond = load * 6 * 32 / 50;
+            if (static_cast<double>(below(100000)) < jobsPerSecond * ProgressSimulation::stepMs * 100)
+                submitJob(i);
+        }
+    }
+
+    void disturb()
+    {
+        if (m_world.now() >= m_phaseUntil) {
+            m_isTroubled = !m_isTroubled;
+            m_phaseUntil = m_world.now() + (m_isTroubled ? between(500, 6000) : between(4000, 14000));
+        }
+        if (below(500) == 0)
+            startWave();
+        if (!m_isTroubled || below(25) != 0)
+            return;
+        auto machine = below(m_world.machines().size());
+        auto length = between(500, 5000);
+        switch (below(9)) {
+        case 0:
+            m_world.changeLeader(between(300, 2500));
+            break;
+        case 1:
+            m_world.restartRunner(machine, between(200, 2000));
+            break;
+        case 2:
+        case 3:
+            m_world.trouble(machine, Trouble::Silent, length);
+            break;
+        case 4:
+            m_world.trouble(machine, Trouble::Hangs, length);
+            break;
+        case 5:
+            m_world.trouble(machine, Trouble::Slow, length);
+            break;
+        default:
+            m_world.trouble(machine, Trouble::Grey, length);
+        }
+    }
+
+    void startWave()
+    {
+        if (m_waves >= 2)
+            return;
+        StartWave wave;
+        wave.wave = ++m_waves;
+        for (const auto& machine : m_world.machines()) {
+            if (below(2) == 0)
+                wave.machines.push_back(machine.name);
+        }
+        wave.maxAtOnce = static_cast<std::uint32_t>(between(2, 5));
+        wave.deadline = { between(20000, 40000) };
+        m_world.startWave(wave);
+    }
+
+    ProgressSimulation m_world;
+    double m_load = 0; ///< Work that arrives, as a part of what a pool can do.
+    double m_peak = 0;
+    int m_jobs = 0;
+    std::uint64_t m_waves = 0;
+    int m_peakPool = 0;
+    std::int64_t m_peakUntil = 0;
+    bool m_isTroubled = false;
+    std::int64_t m_phaseUntil = 4000;
+};
+
+} // namespace
+
+// Guards against tasks that wait for long while there is room for them (incident inc1 of the Consorzio:
+// accepted jobs started a minute late).
+TEST_CASE("Whatever keeps a task from starting ends by itself while there is room", "[progress][random]")
+{
+    if (std::getenv("CELERYLINE_PROGRESS_EVENTS") != nullptr)
+        setUpEventLog("progress");
+    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
+        Day day(seed);
+        auto violation = day.play();
+        INFO("seed " << seed << ": " << violation);
+        CHECK(violation.empty());
+        CHECK(day.world().startedRuns() > 0);
+    }
+}
