Decide once whether the scripted runner cuts an answer

The script of "A large answer is streamed, and its truncation is noticed" read isCut twice: once for the length of the answer and once more, after the answer was sent, to decide whether the connection stays open. The client receives the whole answer and the test sets isCut before the script has returned, so the second read closed the connection with the second request unread. The close is then a reset, nothing is streamed, and line 239 fails. The pool is right in this schedule: the request was sent, so its outcome is unknown.

No bound is changed.

--- a/test/UpstreamPoolTest.cpp
+++ b/test/UpstreamPoolTest.cpp
@@ -220,9 +220,12 @@
     const std::string body(5000, 'x');
     std::atomic<bool> isCut { false };
     ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        // Read once: the test sets isCut while the script of the whole answer may still be running. A second
+        // read would then close the connection with the next request unread, and the client sees a reset.
+        const bool cutsThis = isCut;
         ScriptedRunner::send(
-            socket, ScriptedRunner::response(body).substr(0, isCut ? 3000 : std::string::npos));
-        return !isCut;
+            socket, ScriptedRunner::response(body).substr(0, cutsThis ? 3000 : std::string::npos));
+        return !cutsThis;
     });
     PoolFixture fixture;
     CollectingSink sink;
