Reserve the ports of control processes that tests start later

The tests looked up a free port, released it and listened on it later. In the meantime the kernel can give the port to a listener of another process, for example of a second test run. "Requests are refused immediately while no control process responds, until there is a leader" then connects to that listener: its first request was sent, so the outcome is Unknown, not NotLeading. The product is right. A ReservedAddress keeps the port bound without listening, so that connections are refused and no one else is given it.

Ruled out: a connection of the port to itself. bind() chose an odd port 1,000 of 1,000 times, connect() takes even ones, and 200,000 attempts on an odd port didn't connect. No bound is changed.

--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -2,8 +2,8 @@
 
 #include "JobKit.h"
 #include "MemoryFileSystem.h"
+#include "ReservedAddress.h"
 
-#include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
 #include <memory>
@@ -16,12 +16,6 @@
 
 constexpr kj::Duration waitTimeout = 20 * kj::SECONDS;
 
-std::string freeAddress()
-{
-    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return "127.0.0.1:" + std::to_string(socket.address().port());
-}
-
 /// A single control process on the test's event loop.
 class SingleNode {
 public:
@@ -74,7 +68,8 @@
     MemoryFileSystem files;
     files.setSyncTime(std::chrono::milliseconds(4));
     auto io = kj::setupAsyncIo();
-    auto address = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
     constexpr int jobs = 300;
     {
         SingleNode single(io, files, address, true);
--- a/test/LeaderSearchTest.cpp
+++ b/test/LeaderSearchTest.cpp
@@ -2,6 +2,8 @@
 
 #include "celeryline/rpc/ControlServer.h"
 
+#include "ReservedAddress.h"
+
 #include <Poco/Net/ServerSocket.h>
 #include <catch2/catch.hpp>
 
@@ -10,6 +12,7 @@
 #include <vector>
 
 using namespace celeryline;
+using celeryline::test::ReservedAddress;
 
 namespace {
 
@@ -22,12 +25,6 @@
 /// for a busy machine.
 constexpr Millis maxSearchTime { 900 };
 
-std::string freeAddress()
-{
-    Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return "127.0.0.1:" + std::to_string(socket.address().port());
-}
-
 /// A control process with configurable responses.
 struct FakeControl final : ControlHandler {
     void onRaft(const RaftMessage&) override { }
@@ -121,7 +118,8 @@
 TEST_CASE("Requests are refused immediately while no control process responds, until there is a leader",
     "[control]")
 {
-    auto address = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
     EntryFixture entry({ address });
     REQUIRE_FALSE(entry.search.hasLeader());
     auto first = entry.send("POST"); // The first requests wait as long as an election may take.
@@ -144,7 +142,8 @@
     "A control process that accepts connections but never responds doesn't delay the others", "[control]")
 {
     Poco::Net::ServerSocket silent(Poco::Net::SocketAddress("127.0.0.1", 0));
-    auto address = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
     EntryFixture entry({ "127.0.0.1:" + std::to_string(silent.address().port()), "not an address", address });
     entry.runFor(refuseAfter + Millis { 200 });
     requireRefusedImmediately(entry.send("POST"));
@@ -156,8 +155,10 @@
 // Guards against requests that wait for an unreachable leader because a reachable follower reports it.
 TEST_CASE("A leader that is reported but never responds doesn't delay requests", "[control]")
 {
-    auto address = freeAddress();
-    auto unreachable = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
+    const ReservedAddress reservedUnreachable;
+    const auto& unreachable = reservedUnreachable.text();
     EntryFixture entry({ address });
     auto follower = makeLeader(address);
     follower.introduction.leader = unreachable;
@@ -177,7 +178,8 @@
 // Guards against status 503 for a request that may have been executed, which tells the caller that it wasn't.
 TEST_CASE("A request that may have been executed isn't refused while no leader responds", "[control]")
 {
-    auto address = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
     EntryFixture entry({ address });
     auto control = makeLeader(address);
     control.introduction.leader = "";
@@ -194,7 +196,8 @@
 // Guards against a process that refuses requests or isn't ready although its leader responds.
 TEST_CASE("No request is refused while a leader responds", "[control]")
 {
-    auto address = freeAddress();
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
     EntryFixture entry({ address });
     auto leader = makeLeader(address);
     auto server = std::make_unique<ControlServer>(entry.network(), address, leader);
