Let RaftCore report the state of its voter set and elections

RaftCore now offers const queries over plain data: voterSetStatus() on the leader (each voter's silence, each learner's readiness, what blocks a change), lastVoterChange() with the reason, electionStatus() on a candidate (each voter's answer in the current or previous round), lastVoteRefusal() on the refusing side, and hasLeaderCommits() on a learner. Requests for a vote that were ignored silently (other storage id, empty log) are recorded too. The last contact with a voter, which stood in two places, is now computed by lastContact(). The status queries are in RaftStatus.cpp.

No decision and no message changes.

--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -2,11 +2,13 @@
 /// The Raft consensus algorithm as a deterministic state machine.
 #pragma once
 
+#include "celeryline/consensus/ElectionStatus.h"
 #include "celeryline/consensus/RaftLog.h"
 #include "celeryline/consensus/RaftOptions.h"
 #include "celeryline/consensus/RaftOutput.h"
 #include "celeryline/consensus/ReplicaState.h"
 #include "celeryline/consensus/StoreStatus.h"
+#include "celeryline/consensus/VoterSetStatus.h"
 
 #include <map>
 #include <optional>
@@ -104,6 +106,25 @@
     /// @return replication progress of all other instances; empty unless this is the leader.
     std::vector<ReplicaProgress> replicas() const;
 
+    /// @return the voters and learners as this leader sees them; nothing unless this is the leader.
+    std::optional<VoterSetStatus> voterSetStatus() const;
+
+    /// @return the newest change of the voter set that this replica made as leader.
+    const VoterChange& lastVoterChange() const { return m_lastVoterChange; }
+
+    /// @return the election that this replica has begun since it lost the leader; nothing if it knows a
+    /// leader or hasn't begun an election.
+    std::optional<ElectionStatus> electionStatus() const;
+
+    /// @return the number of rounds of pre-votes and votes that this replica has begun.
+    std::uint64_t electionRounds() const { return m_electionRounds; }
+
+    /// @return the newest refusal of a vote or pre-vote by this replica.
+    const VoteRefusal& lastVoteRefusal() const { return m_lastVoteRefusal; }
+
+    /// @return whether this replica's log contains all entries that the leader has reported as committed.
+    bool hasLeaderCommits() const;
+
 private:
     struct PendingPersist {
         std::uint64_t id = 0;
@@ -124,7 +145,13 @@
     void startPreVote();
     void startElection(bool isTransfer);
     void becomeLeader();
+    void beginElectionRound(bool isPreVote);
     void countVote(const ReplicaId& voter);
+    VoteRefusalReason preVoteRefusal(const RaftMessage& message) const;
+    VoteRefusalReason voteRefusal(const RaftMessage& message) const;
+    void recordRefusal(const RaftMessage& request, VoteRefusalReason reason);
+    void recordRefusedVote(const RaftMessage& reply);
+    void onVoteRequest(const RaftMessage& message);
     void onPreVote(const RaftMessage& message);
     void onVote(const RaftMessage& message);
     void onVoteReply(const RaftMessage& message);
@@ -145,9 +172,14 @@
     void sendTo(detail::ReplicaState& replica, bool isHeartbeat);
     void sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat);
     void advanceCommitIndex();
+    VoterChangeBlocker changeBlocker() const;
+    bool changeVoters(
+        const VoterConfiguration& configuration, VoterChangeReason reason, const ReplicaId& lostVoter = {});
     void maintainConfiguration();
     bool hasContact(const detail::ReplicaState& replica) const;
+    LearnerReadiness readiness(const detail::ReplicaState& replica) const;
     bool isCaughtUp(const detail::ReplicaState& replica) const;
+    Millis lastContact(const ReplicaId& voter) const;
     bool isPermanentlyLost(const ReplicaId& voter) const;
     bool removeReplacedVoter();
     void promoteConfiguredVoter();
@@ -157,6 +189,9 @@
     Millis quorumContactTime() const;
     std::uint64_t quorumMatchIndex() const;
 
+    // Status queries (RaftStatus.cpp)
+    VoterContact contactOf(const ReplicaId& voter) const;
+
     // RaftCore.cpp
     RaftMessage makeMessage(RaftMessageKind kind, const ReplicaId& to) const;
     void send(RaftMessage message) { m_output.messages.push_back(std::move(message)); }
@@ -181,11 +216,16 @@
     Millis m_electionDeadline;
     bool m_isPreVote = false;
     std::set<std::string> m_votes;
+    detail::ElectionRecord m_election; ///< Election that this replica has begun since it lost the leader.
+    std::uint64_t m_electionRounds = 0;
+    VoteRefusal m_lastVoteRefusal;
+    std::uint64_t m_leaderCommitIndex = 0; ///< Highest commit index that a leader has reported.
 
     std::map<std::string, detail::ReplicaState> m_replicas; ///< By name; used on the leader only.
     Millis m_leadingSince;
     Millis m_nextHeartbeat;
     std::uint64_t m_termStartIndex = 0; ///< Index of the no-op entry that starts the leader's term.
+    VoterChange m_lastVoterChange;
     bool m_isTransferring = false;
     std::string m_transferTarget;
     Millis m_transferDeadline;
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -79,13 +79,8 @@
     bool isForThisReplica = message.to.storageId == self.storageId;
     switch (message.kind) {
     case RaftMessageKind::PreVote:
-        // An empty replica may have voted with a disk that it has lost, so it must not vote again.
-        if (isForThisReplica && m_options.isDurable && m_log.lastIndex() != 0)
-            onPreVote(message);
-        break;
     case RaftMessageKind::Vote:
-        if (isForThisReplica && m_options.isDurable && m_log.lastIndex() != 0)
-            onVote(message);
+        onVoteRequest(message);
         break;
     case RaftMessageKind::PreVoteReply:
     case RaftMessageKind::VoteReply:
--- a/src/consensus/RaftElection.cpp
+++ b/src/consensus/RaftElection.cpp
@@ -53,14 +53,23 @@
     m_leader = leader;
     m_isPreVote = false;
     m_votes.clear();
+    if (!leader.empty())
+        m_election = {};
     resetElectionDeadline();
 }
 
+void RaftCore::beginElectionRound(bool isPreVote)
+{
+    ++m_electionRounds;
+    beginRound(m_election, m_now, isPreVote ? m_term.term + 1 : m_term.term, isPreVote);
+}
+
 void RaftCore::startPreVote()
 {
     becomeFollower(m_term.term, "");
     m_role = ConsensusRole::Candidate;
     m_isPreVote = true;
+    beginElectionRound(true);
     resetRetryDeadline();
     for (const auto& voter : m_log.configuration().voters) {
         if (voter == m_options.self)
@@ -81,6 +90,7 @@
     m_role = ConsensusRole::Candidate;
     resetRetryDeadline();
     setTerm(m_term.term + 1, m_options.self);
+    beginElectionRound(false);
     for (const auto& voter : m_log.configuration().voters) {
         if (voter == m_options.self)
             continue;
@@ -98,6 +108,7 @@
     if (m_role != ConsensusRole::Candidate || !m_log.configuration().contains(voter))
         return;
     m_votes.insert(voter.name);
+    m_election.current.answers[voter.name] = VoteAnswer::Granted;
     if (m_votes.size() < m_log.configuration().majority())
         return;
     if (m_isPreVote) {
@@ -111,6 +122,7 @@
 {
     m_role = ConsensusRole::Leader;
     m_leader = m_options.self.name;
+    m_election = {};
     m_leadingSince = m_now;
     m_nextHeartbeat = m_now + m_options.heartbeat;
     m_isTransferring = false;
@@ -126,10 +138,55 @@
     m_termStartIndex = m_log.lastIndex();
 }
 
+VoteRefusalReason RaftCore::preVoteRefusal(const RaftMessage& message) const
+{
+    if (message.term <= m_term.term)
+        return VoteRefusalReason::OldTerm;
+    if (hasLeaderContact())
+        return VoteRefusalReason::LeaderContact;
+    return isUpToDate(message) ? VoteRefusalReason::None : VoteRefusalReason::NewerLog;
+}
+
+VoteRefusalReason RaftCore::voteRefusal(const RaftMessage& message) const
+{
+    if (message.term < m_term.term)
+        return VoteRefusalReason::OldTerm;
+    if (!m_term.votedFor.name.empty() && m_term.votedFor != message.from)
+        return VoteRefusalReason::VotedForOther;
+    return isUpToDate(message) ? VoteRefusalReason::None : VoteRefusalReason::NewerLog;
+}
+
+void RaftCore::recordRefusal(const RaftMessage& request, VoteRefusalReason reason)
+{
+    bool isPreVote = request.kind == RaftMessageKind::PreVote;
+    m_lastVoteRefusal = { m_lastVoteRefusal.count + 1, request.from, request.term, isPreVote, reason };
+}
+
+void RaftCore::onVoteRequest(const RaftMessage& message)
+{
+    if (message.to.storageId != m_options.self.storageId) {
+        recordRefusal(message, VoteRefusalReason::OtherStorageId);
+        return;
+    }
+    // An empty replica may have voted with a disk that it has lost, so it must not vote again.
+    if (!m_options.isDurable || m_log.lastIndex() == 0) {
+        recordRefusal(message, VoteRefusalReason::EmptyLog);
+        return;
+    }
+    if (message.kind == RaftMessageKind::PreVote) {
+        onPreVote(message);
+    } else {
+        onVote(message);
+    }
+}
+
 void RaftCore::onPreVote(const RaftMessage& message)
 {
     auto reply = makeMessage(RaftMessageKind::PreVoteReply, message.from);
-    reply.rejected = message.term <= m_term.term || hasLeaderContact() || !isUpToDate(message);
+    auto reason = preVoteRefusal(message);
+    reply.rejected = reason != VoteRefusalReason::None;
+    if (reply.rejected)
+        recordRefusal(message, reason);
     if (!reply.rejected)
         reply.term = message.term;
     // The reply must not contain a term that isn't durable yet.
@@ -140,22 +197,37 @@
 {
     bool isTransfer = message.sequence == transferSequence;
     // The current leader's lease relies on voters refusing to vote while they have contact with it.
-    if (message.term > m_term.term && hasLeaderContact() && !isTransfer)
+    if (message.term > m_term.term && hasLeaderContact() && !isTransfer) {
+        recordRefusal(message, VoteRefusalReason::LeaderContact);
         return;
+    }
     if (message.term > m_term.term)
         becomeFollower(message.term, "");
     auto reply = makeMessage(RaftMessageKind::VoteReply, message.from);
-    bool canVote = m_term.votedFor.name.empty() || m_term.votedFor == message.from;
-    reply.rejected = message.term < m_term.term || !canVote || !isUpToDate(message);
-    if (!reply.rejected) {
+    auto reason = voteRefusal(message);
+    reply.rejected = reason != VoteRefusalReason::None;
+    if (reply.rejected) {
+        recordRefusal(message, reason);
+    } else {
         setTerm(m_term.term, message.from);
         resetElectionDeadline();
     }
     sendWhenPersisted(std::move(reply));
 }
 
+void RaftCore::recordRefusedVote(const RaftMessage& reply)
+{
+    bool isPreVote = reply.kind == RaftMessageKind::PreVoteReply;
+    if (m_election.rounds == 0 || isPreVote != m_election.current.isPreVote)
+        return;
+    m_election.current.answers[reply.from.name]
+        = reply.term > m_term.term ? VoteAnswer::RefusedHigherTerm : VoteAnswer::Refused;
+}
+
 void RaftCore::onVoteReply(const RaftMessage& message)
 {
+    if (message.rejected)
+        recordRefusedVote(message);
     if (message.rejected && message.term > m_term.term) {
         becomeFollower(message.term, "");
         return;
--- a/src/consensus/RaftFollower.cpp
+++ b/src/consensus/RaftFollower.cpp
@@ -30,6 +30,7 @@
         return;
     }
     acceptLeader(message);
+    m_leaderCommitIndex = std::max(m_leaderCommitIndex, message.commitIndex);
     reply.term = m_term.term;
 
     auto previous = message.logIndex;
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -22,14 +22,8 @@
 {
     std::vector<std::int64_t> times;
     for (const auto& voter : m_log.configuration().voters) {
-        const auto* replica = findReplica(voter);
-        if (voter == m_options.self) {
-            times.push_back(m_now.count);
-        } else {
-            times.push_back(replica == nullptr
-                    ? m_leadingSince.count
-                    : std::max(replica->ackedSendTime.count, m_leadingSince.count));
-        }
+        auto time = voter == m_options.self ? m_now : lastContact(voter);
+        times.push_back(time.count);
     }
     std::sort(times.rbegin(), times.rend());
     return { times[m_log.configuration().majority() - 1] };
@@ -223,11 +217,28 @@
     m_outgoingSnapshot = std::move(bytes);
 }
 
-bool RaftCore::changeConfiguration(const VoterConfiguration& configuration)
+VoterChangeBlocker RaftCore::changeBlocker() const
 {
+    if (m_isTransferring)
+        return VoterChangeBlocker::LeadershipTransfer;
     // Safe only after an entry of the current term is committed, and for one change at a time.
-    if (m_role != ConsensusRole::Leader || m_isTransferring || m_commitIndex < m_termStartIndex
-        || m_commitIndex < m_log.configurationIndex() || configuration.voters.empty())
+    if (m_commitIndex < m_termStartIndex)
+        return VoterChangeBlocker::TermStartNotCommitted;
+    if (m_commitIndex < m_log.configurationIndex())
+        return VoterChangeBlocker::ChangeInProgress;
+    return VoterChangeBlocker::None;
+}
+
+bool RaftCore::changeConfiguration(const VoterConfiguration& configuration)
+{
+    return changeVoters(configuration, VoterChangeReason::Requested);
+}
+
+bool RaftCore::changeVoters(
+    const VoterConfiguration& configuration, VoterChangeReason reason, const ReplicaId& lostVoter)
+{
+    if (m_role != ConsensusRole::Leader || changeBlocker() != VoterChangeBlocker::None
+        || configuration.voters.empty())
         return false;
     const auto& current = m_log.configuration();
     std::size_t common = 0;
@@ -236,6 +247,8 @@
     if (current.voters.size() + configuration.voters.size() - 2 * common != 1)
         return false;
     appendAsLeader(LogEntryKind::Configuration, m_log.lastTime(), encodeConfiguration(configuration));
+    auto silent = lostVoter.name.empty() ? Millis {} : m_now - lastContact(lostVoter);
+    m_lastVoterChange = { m_log.lastIndex(), reason, lostVoter, silent };
     return true;
 }
 
@@ -245,21 +258,35 @@
         && m_now < replica.ackedSendTime + m_options.electionTimeout;
 }
 
-bool RaftCore::isCaughtUp(const detail::ReplicaState& replica) const
+LearnerReadiness RaftCore::readiness(const detail::ReplicaState& replica) const
 {
+    if (!hasContact(replica))
+        return LearnerReadiness::NotInContact;
+    if (!isDurableId(replica.id.storageId))
+        return LearnerReadiness::NoDurableStorage;
     // An empty replica can't vote. As a voter it would count towards the majority, so that the loss of
     // another voter could leave the log without one.
-    return hasContact(replica) && isDurableId(replica.id.storageId) && replica.matchIndex >= m_termStartIndex
+    bool hasEntries = replica.matchIndex >= m_termStartIndex
         && replica.matchIndex + caughtUpThreshold >= m_log.lastIndex();
+    return hasEntries ? LearnerReadiness::Ready : LearnerReadiness::LacksEntries;
+}
+
+bool RaftCore::isCaughtUp(const detail::ReplicaState& replica) const
+{
+    return readiness(replica) == LearnerReadiness::Ready;
+}
+
+Millis RaftCore::lastContact(const ReplicaId& voter) const
+{
+    const auto* replica = findReplica(voter);
+    return replica == nullptr ? m_leadingSince : std::max(replica->ackedSendTime, m_leadingSince);
 }
 
 bool RaftCore::isPermanentlyLost(const ReplicaId& voter) const
 {
     if (voter == m_options.self)
         return false;
-    const auto* replica = findReplica(voter);
-    auto contactTime = replica == nullptr ? m_leadingSince : std::max(replica->ackedSendTime, m_leadingSince);
-    return m_now >= contactTime + m_options.voterReplacementTimeout;
+    return m_now >= lastContact(voter) + m_options.voterReplacementTimeout;
 }
 
 void RaftCore::maintainConfiguration()
@@ -282,7 +309,7 @@
             continue;
         // The voter returned with a new storage id, so the disk that it voted with is lost.
         changed.voters.erase(std::find(changed.voters.begin(), changed.voters.end(), voter));
-        changeConfiguration(changed);
+        changeVoters(changed, VoterChangeReason::DiskReplaced, voter);
         return true;
     }
     return false;
@@ -296,7 +323,7 @@
         if (found == m_replicas.end() || changed.find(name) != nullptr || !isCaughtUp(found->second))
             continue;
         changed.voters.push_back(found->second.id);
-        changeConfiguration(changed);
+        changeVoters(changed, VoterChangeReason::ConfiguredVoter);
         return;
     }
 }
@@ -307,13 +334,16 @@
     auto& voters = changed.voters;
     auto lost = std::find_if(
         voters.begin(), voters.end(), [&](const ReplicaId& v) { return isPermanentlyLost(v); });
+    auto lostVoter = lost == voters.end() ? ReplicaId {} : *lost;
     if (voters.size() > m_options.voterTarget) {
+        auto reason = VoterChangeReason::LostVoterRemoved;
         if (lost == voters.end()) {
             // The lost voter returned before it was removed.
             lost = voters.back() == m_options.self ? voters.end() - 2 : voters.end() - 1;
+            reason = VoterChangeReason::TooManyVoters;
         }
         voters.erase(lost);
-        changeConfiguration(changed);
+        changeVoters(changed, reason, lostVoter);
         return;
     }
     if (voters.size() == m_options.voterTarget && lost == voters.end())
@@ -324,7 +354,9 @@
         if (changed.find(name) != nullptr || !isCaughtUp(replica))
             continue;
         voters.push_back(replica.id);
-        changeConfiguration(changed);
+        bool isReplacement = !lostVoter.name.empty();
+        changeVoters(changed, isReplacement ? VoterChangeReason::VoterLost : VoterChangeReason::TooFewVoters,
+            lostVoter);
         return;
     }
 }
@@ -382,19 +414,4 @@
         send(makeMessage(RaftMessageKind::TransferLeadership, target.id));
 }
 
-std::vector<ReplicaProgress> RaftCore::replicas() const
-{
-    std::vector<ReplicaProgress> all;
-    for (const auto& [name, replica] : m_replicas) {
-        ReplicaProgress progress;
-        progress.name = name;
-        progress.matchIndex = replica.matchIndex;
-        progress.isVoter = m_log.configuration().contains(replica.id);
-        progress.isReachable
-            = replica.ackedSendTime.count >= 0 && m_now < replica.ackedSendTime + m_options.electionTimeout;
-        all.push_back(std::move(progress));
-    }
-    return all;
-}
-
 } // namespace celeryline
