Let nodes join, leave and freeze in the simulation of consensus

Cause: the simulation had a fixed set of named nodes, which all knew each other from the start. It could therefore not show what happens when machines are removed for good and replaced by empty ones at new addresses, which is how the voter set with a target number of voters is used.

Change: RaftSimulation::raft is the template of all nodes' options, so that a test can choose voterTarget and the timing of control processes. addNode() adds a node with an empty disk, removeNode() removes one for good, freeze() and thaw() stop and continue one. With voterTarget, nodes start without peers and find each other as ControlNode does: from up to three seeds that are 3 s old and the voters of their log, each 250 ms without a leader and each 2 s with one, again after every restart. Two invariants are new: the voter set has at most one voter above the target, and gains no replica whose disk was lost more than an election timeout ago. A node's ticks are counted from its start instead of all nodes ticking at the same multiples of 5 ms.

--- a/test/RaftSimulation.cpp
+++ b/test/RaftSimulation.cpp
@@ -20,35 +20,43 @@
 RaftSimulation::RaftSimulation(std::uint64_t seed, int voters, int learners)
     : m_random(seed)
 {
-    auto add = [&](const std::string& name, bool hasDisk) {
-        Node node;
-        node.name = name;
-        node.hasDisk = hasDisk;
-        node.files = std::make_unique<MemoryFileSystem>(m_random());
-        node.clockOffset = static_cast<std::int64_t>(randomBelow(1000000));
-        m_nodes.emplace(name, std::move(node));
-    };
+    raft.maxBatchBytes = 2000;
+    raft.maxInFlightEntries = 40;
+    raft.snapshotChunkBytes = 100;
     for (int i = 0; i < voters; ++i) {
         m_voterNames.push_back("v" + std::to_string(i));
-        add(m_voterNames.back(), true);
+        insertNode(m_voterNames.back(), true);
     }
     for (int i = 0; i < learners; ++i)
-        add("l" + std::to_string(i), false);
+        insertNode("l" + std::to_string(i), false);
+}
+
+RaftSimulation::Node& RaftSimulation::insertNode(const std::string& name, bool hasDisk)
+{
+    Node node;
+    node.name = name;
+    node.hasDisk = hasDisk;
+    node.files = std::make_unique<MemoryFileSystem>(m_random());
+    node.clockOffset = static_cast<std::int64_t>(randomBelow(1000000));
+    return m_nodes.emplace(name, std::move(node)).first->second;
 }
 
 void RaftSimulation::start()
 {
     for (auto& [name, node] : m_nodes)
         startNode(name);
+    auto founders = m_voterNames;
+    if (raft.voterTarget != 0)
+        founders.resize(std::min(founders.size(), raft.voterTarget));
     LogEntry first;
     first.index = 1;
     first.term = 1;
     first.kind = LogEntryKind::Configuration;
     VoterConfiguration configuration;
-    for (const auto& name : m_voterNames)
+    for (const auto& name : founders)
         configuration.voters.push_back({ name, m_nodes.at(name).storageId });
     first.payload = encodeConfiguration(configuration);
-    for (const auto& name : m_voterNames) {
+    for (const auto& name : founders) {
         m_nodes.at(name).core->form(first);
         process(m_nodes.at(name));
     }
@@ -58,6 +66,7 @@
 {
     auto& node = m_nodes.at(name);
     node.restartAt = -1;
+    node.startedAt = m_now;
     node.applied.clear();
     runWithFaults(node, [&] {
         RecoveredState state;
@@ -72,21 +81,22 @@
         node.snapshotIndex = state.snapshot.index;
         node.applied.assign(
             m_committed.begin(), m_committed.begin() + static_cast<std::ptrdiff_t>(state.snapshot.index));
-        RaftOptions options;
+        auto options = raft;
         options.self = { name, node.storageId };
         options.isDurable = node.hasDisk;
-        for (const auto& [other, unused] : m_nodes) {
-            if (other != name)
-                options.peers.push_back(other);
+        if (raft.voterTarget == 0) {
+            options.voterNames = m_voterNames;
+            for (const auto& [other, unused] : m_nodes) {
+                if (other != name)
+                    options.peers.push_back(other);
+            }
         }
-        options.voterNames = m_voterNames;
-        options.maxBatchBytes = 2000;
-        options.maxInFlightEntries = 40;
-        options.snapshotChunkBytes = 100;
         options.seed = m_random();
         node.core
             = std::make_unique<RaftCore>(options, state.term, state.snapshot, state.entries, timeOf(node));
     });
+    if (raft.voterTarget != 0 && node.core != nullptr)
+        initializeAddresses(node);
 }
 
 void RaftSimulation::kill(const std::string& name)
@@ -94,12 +104,15 @@
     auto& node = m_nodes.at(name);
     node.core.reset();
     node.storage.reset();
+    node.isFrozen = false;
+    node.unread.clear();
     node.files->powerLoss();
 }
 
 void RaftSimulation::loseDisk(const std::string& name)
 {
     kill(name);
+    m_diskLostAt[m_nodes.at(name).storageId] = m_now;
     m_nodes.at(name).files->loseDisk();
 }
 
@@ -140,31 +153,45 @@
 void RaftSimulation::step()
 {
     ++m_now;
+    deliverDueMessages();
+    for (auto& [name, node] : m_nodes) {
+        if (node.core == nullptr && node.restartAt >= 0 && m_now >= node.restartAt) {
+            startNode(name);
+            continue;
+        }
+        if (!isRunning(name))
+            continue;
+        if ((m_now - node.startedAt) % tickInterval == 0) {
+            node.core->tick(timeOf(node));
+            process(node);
+        }
+        if (raft.voterTarget != 0 && m_now >= node.nextIntroduction && isRunning(name))
+            introduce(node);
+    }
+    checkInvariants();
+}
+
+void RaftSimulation::deliverDueMessages()
+{
     std::vector<RaftMessage> due;
     auto firstDue = std::stable_partition(m_inFlight.begin(), m_inFlight.end(),
         [this](const InFlightMessage& t) { return t.arrivalTime > m_now; });
     for (auto item = firstDue; item != m_inFlight.end(); ++item)
         due.push_back(std::move(item->message));
     m_inFlight.erase(firstDue, m_inFlight.end());
-    for (const auto& message : due) {
-        auto& node = m_nodes.at(message.to.name);
-        if (node.core == nullptr || m_blockedLinks.count({ message.from.name, message.to.name }) != 0)
+    for (auto& message : due) {
+        auto found = m_nodes.find(message.to.name);
+        if (found == m_nodes.end() || found->second.core == nullptr
+            || !isLinkUp(message.from.name, message.to.name))
             continue;
-        node.core->receive(timeOf(node), message);
-        process(node);
-    }
-    for (auto& [name, node] : m_nodes) {
-        if (node.core == nullptr) {
-            if (node.restartAt >= 0 && m_now >= node.restartAt)
-                startNode(name);
+        auto& node = found->second;
+        if (node.isFrozen) {
+            node.unread.push_back(std::move(message));
             continue;
         }
-        if (m_now % 5 == 0) {
-            node.core->tick(timeOf(node));
-            process(node);
-        }
+        node.core->receive(timeOf(node), message);
+        process(node);
     }
-    checkInvariants();
 }
 
 void RaftSimulation::process(Node& node)
@@ -221,8 +248,10 @@
     for (const auto& entry : output.committed) {
         requireInvariant(entry.index == node.applied.size() + 1, "entries are applied in order");
         node.applied.push_back(hashOf(entry));
-        if (entry.index > m_committed.size())
+        if (entry.index > m_committed.size()) {
             m_committed.push_back(node.applied.back());
+            m_committedConfigurations += entry.kind == LogEntryKind::Configuration ? 1 : 0;
+        }
         requireInvariant(
             m_committed[entry.index - 1] == node.applied.back(), "all nodes apply the same entries");
     }
@@ -261,6 +290,8 @@
         auto [known, isNew] = m_leaders.emplace(node.core->term(), id);
         requireInvariant(known->second == id, "at most one leader per term");
         leases += node.core->leaseEnd() > timeOf(node) ? 1 : 0;
+        if (raft.voterTarget != 0)
+            checkVoterSet(node);
     }
     requireInvariant(leases <= 1, "at most one lease at a time");
 }
