Show with series of replacements how the voter set falls behind

Cause: a removed machine counts as lost until its successor has run for the catch-up time of 4 s, after which the next one may be removed. The leader replaces a voter only after 8 s without contact, counted from the start of its own term at the earliest. If the next voter is removed in between, a majority of the voters is gone for good.

Change: ReplacementSeries removes and replaces machines of the simulated cluster with the timing of control processes, and accounts which of them count as lost. VoterReplacementTest.cpp repeats the incident (a follower, then the leader twice, each as soon as permitted) with three and four machines, replaces pairs of eight machines with five voters, restarts all machines or takes their power between two replacements, changes the leader in between, and runs random series over seeds with kills, isolated and frozen machines and lost messages. After each series a leader must commit entries within 5 s, and the voters must be live machines of the target number within another 5 s.

--- /dev/null
+++ b/test/ReplacementSeries.cpp
@@ -0,0 +1,201 @@
+#include "ReplacementSeries.h"
+
+#include <algorithm>
+
+namespace celeryline::test {
+namespace {
+
+/// Timing of control processes, in milliseconds.
+constexpr std::int64_t heartbeat = 100;
+constexpr std::int64_t electionTimeout = 500;
+constexpr std::int64_t tickInterval = 25;
+
+constexpr std::int64_t proposalInterval = 20; ///< In milliseconds.
+
+} // namespace
+
+ReplacementSeries::ReplacementSeries(std::uint64_t seed, ClusterSize size)
+    : simulation(seed, size.machines)
+    , m_size(size)
+{
+    const RaftOptions defaults;
+    simulation.raft.voterTarget = size.voters;
+    simulation.raft.heartbeat = { heartbeat };
+    simulation.raft.electionTimeout = { electionTimeout };
+    simulation.raft.maxBatchBytes = defaults.maxBatchBytes;
+    simulation.raft.maxInFlightEntries = defaults.maxInFlightEntries;
+    simulation.raft.snapshotChunkBytes = defaults.snapshotChunkBytes;
+    simulation.tickInterval = tickInterval;
+    simulation.snapshotEntries = 200;
+    simulation.start();
+    commitsWithin(10000);
+}
+
+void ReplacementSeries::step()
+{
+    while (!m_actions.empty() && m_actions.begin()->first <= simulation.now()) {
+        auto action = m_actions.begin()->second;
+        m_actions.erase(m_actions.begin());
+        action();
+    }
+    if (simulation.now() % proposalInterval == 0) {
+        auto name = simulation.leader();
+        if (!name.empty() && !simulation.node(name).isFrozen)
+            simulation.propose(name, "c" + std::to_string(m_proposals++));
+    }
+    simulation.run(1);
+}
+
+void ReplacementSeries::run(std::int64_t milliseconds)
+{
+    for (std::int64_t i = 0; i < milliseconds; ++i)
+        step();
+}
+
+bool ReplacementSeries::runUntil(const std::function<bool()>& condition, std::int64_t limit)
+{
+    for (std::int64_t i = 0; i < limit && !condition(); ++i)
+        step();
+    return condition();
+}
+
+void ReplacementSeries::runUntilNoneLost()
+{
+    while (lostMachines() != 0)
+        step();
+}
+
+void ReplacementSeries::markLost(const std::string& name, std::int64_t awayTime)
+{
+    auto& until = m_lostUntil[name];
+    until = std::max(until, simulation.now() + awayTime + catchUpTime);
+}
+
+std::size_t ReplacementSeries::lostMachines(const std::string& except)
+{
+    return static_cast<std::size_t>(std::count_if(m_lostUntil.begin(), m_lostUntil.end(),
+        [&](const auto& item) { return item.first != except && item.second > simulation.now(); }));
+}
+
+std::string ReplacementSeries::replace(const std::string& name, std::int64_t successorDelay)
+{
+    auto successor = "n" + std::to_string(++m_successors);
+    markLost(name, successorDelay);
+    simulation.removeNode(name);
+    at(simulation.now() + successorDelay, [this, successor] { simulation.addNode(successor); });
+    return successor;
+}
+
+void ReplacementSeries::restart(const std::string& name)
+{
+    if (simulation.hasNode(name) && simulation.node(name).core == nullptr)
+        simulation.startNode(name);
+}
+
+void ReplacementSeries::killFor(const std::string& name, std::int64_t downTime)
+{
+    markLost(name, downTime);
+    simulation.kill(name);
+    at(simulation.now() + downTime, [this, name] { restart(name); });
+}
+
+void ReplacementSeries::killAllFor(std::int64_t downTime)
+{
+    for (const auto& [name, node] : simulation.nodes()) {
+        if (node.core != nullptr)
+            killFor(name, downTime);
+    }
+}
+
+void ReplacementSeries::blockIsolated()
+{
+    simulation.healNetwork();
+    for (const auto& [name, until] : m_isolatedUntil) {
+        if (until > simulation.now() && simulation.hasNode(name))
+            simulation.isolate(name);
+    }
+}
+
+void ReplacementSeries::isolateFor(const std::string& name, std::int64_t milliseconds)
+{
+    markLost(name, milliseconds);
+    m_isolatedUntil[name] = std::max(m_isolatedUntil[name], simulation.now() + milliseconds);
+    blockIsolated();
+    at(simulation.now() + milliseconds, [this] { blockIsolated(); });
+}
+
+void ReplacementSeries::freezeFor(const std::string& name, std::int64_t milliseconds)
+{
+    markLost(name, milliseconds);
+    simulation.freeze(name);
+    at(simulation.now() + milliseconds, [this, name] {
+        if (simulation.hasNode(name) && simulation.node(name).isFrozen)
+            simulation.thaw(name);
+    });
+}
+
+bool ReplacementSeries::commitsWithin(std::int64_t limit)
+{
+    auto before = simulation.committed();
+    return runUntil(
+        [&] {
+            auto name = simulation.leader();
+            if (name.empty() || simulation.committed() <= before)
+                return false;
+            // Entries that an earlier leader left behind don't show that this one can commit.
+            const auto& core = *simulation.node(name).core;
+            return core.log().termAt(core.commitIndex()) == core.term();
+        },
+        limit);
+}
+
+bool ReplacementSeries::hasTargetVotersWithin(std::int64_t limit)
+{
+    return runUntil([this] { return simulation.hasTargetVoters(); }, limit);
+}
+
+std::string ReplacementSeries::leader()
+{
+    auto name = simulation.leader();
+    return name.empty() ? randomMachine() : name;
+}
+
+std::string ReplacementSeries::follower()
+{
+    auto leader = simulation.leader();
+    for (const auto& voter : simulation.committedVoters().voters) {
+        if (voter.name != leader && simulation.hasNode(voter.name))
+            return voter.name;
+    }
+    return randomMachine();
+}
+
+std::string ReplacementSeries::randomMachine()
+{
+    std::vector<std::string> names;
+    for (const auto& [name, node] : simulation.nodes()) {
+        if (node.core != nullptr && !node.isFrozen)
+            names.push_back(name);
+    }
+    return names.empty() ? "" : names[simulation.randomBelow(names.size())];
+}
+
+std::string ReplacementSeries::describe()
+{
+    auto text = "time " + std::to_string(simulation.now()) + ", leader \"" + simulation.leader() + "\"";
+    for (const auto& [name, node] : simulation.nodes()) {
+        text += "\n" + name;
+        if (node.core == nullptr) {
+            text += ": down";
+            continue;
+        }
+        text += ": term " + std::to_string(node.core->term()) + ", committed "
+            + std::to_string(node.core->commitIndex()) + " of " + std::to_string(node.core->log().lastIndex())
+            + ", voters";
+        for (const auto& voter : node.core->log().configuration().voters)
+            text += " " + voter.name + (simulation.hasNode(voter.name) ? "" : " (removed)");
+    }
+    return text;
+}
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/ReplacementSeries.h
@@ -0,0 +1,82 @@
+/// @file
+/// Removal and replacement of a simulated cluster's machines within the tolerance of the platform.
+#pragma once
+
+#include "RaftSimulation.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace celeryline::test {
+
+/// Sizes of a cluster.
+struct ClusterSize {
+    int machines = 3; ///< Machines with a disk.
+    std::size_t voters = 3;
+
+    /// @return how many machines may be lost at the same time.
+    std::size_t tolerance() const { return (voters - 1) / 2; }
+};
+
+/// A cluster of control processes under load, whose machines are removed and replaced in series. Losses that
+/// end by themselves are scheduled, and run() carries them out. A machine counts as lost while it is away and
+/// for the catch-up time after it, or its successor, is back.
+class ReplacementSeries {
+public:
+    /// The platform's catch-up time in milliseconds: a machine counts as lost until it has run for this long.
+    static constexpr std::int64_t catchUpTime = 4000;
+
+    /// Starts the cluster and waits until it commits entries.
+    ReplacementSeries(std::uint64_t seed, ClusterSize size);
+
+    /// Advances the time, with one proposal each 20 ms.
+    void run(std::int64_t milliseconds);
+    /// @return whether the condition held within the limit in milliseconds.
+    bool runUntil(const std::function<bool()>& condition, std::int64_t limit);
+    /// Runs until the machines that are lost no longer count as such.
+    void runUntilNoneLost();
+
+    /// Removes a machine for good and starts its successor after a while.
+    /// @return the successor's name.
+    std::string replace(const std::string& name, std::int64_t successorDelay);
+    void killFor(const std::string& name, std::int64_t downTime);
+    void killAllFor(std::int64_t downTime);
+    void isolateFor(const std::string& name, std::int64_t milliseconds);
+    void freezeFor(const std::string& name, std::int64_t milliseconds);
+
+    /// @return how many machines count as lost, without the given one.
+    std::size_t lostMachines(const std::string& except = "");
+    /// @return whether an entry is committed within the limit in milliseconds.
+    bool commitsWithin(std::int64_t limit);
+    /// @return whether the voter set consists of live machines and has its target size within the limit in
+    /// milliseconds.
+    bool hasTargetVotersWithin(std::int64_t limit);
+    /// @return the leader; a random machine if there is none.
+    std::string leader();
+    /// @return a voter other than the leader; a random machine if there is no leader.
+    std::string follower();
+    /// @return a random machine that is up and not frozen; empty if there is none.
+    std::string randomMachine();
+    /// @return the leader, its voters and all machines, for messages of failed tests.
+    std::string describe();
+
+    RaftSimulation simulation;
+
+private:
+    void at(std::int64_t time, std::function<void()> action) { m_actions.emplace(time, std::move(action)); }
+    void markLost(const std::string& name, std::int64_t awayTime);
+    void step();
+    void restart(const std::string& name);
+    void blockIsolated();
+
+    ClusterSize m_size;
+    std::multimap<std::int64_t, std::function<void()>> m_actions; ///< By time.
+    std::map<std::string, std::int64_t> m_lostUntil; ///< By name.
+    std::map<std::string, std::int64_t> m_isolatedUntil; ///< By name.
+    int m_successors = 0;
+    int m_proposals = 0;
+};
+
+} // namespace celeryline::test
--- /dev/null
+++ b/test/VoterReplacementTest.cpp
@@ -0,0 +1,231 @@
+#include "ReplacementSeries.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdio>
+#include <cstdlib>
+
+using namespace celeryline;
+using celeryline::test::ClusterSize;
+using celeryline::test::ReplacementSeries;
+
+namespace {
+
+/// A leader commits entries this long after the last disturbance, in milliseconds.
+constexpr std::int64_t calmLimit = 5000;
+
+/// The voter set consists of live machines this long after the last machine counts as lost, in milliseconds.
+constexpr std::int64_t voterSetLimit = 5000;
+
+const std::string noProblem;
+
+const ClusterSize threeMachines { 3, 3 };
+const ClusterSize fourMachines { 4, 3 };
+const ClusterSize eightMachines { 8, 5 };
+
+std::uint64_t seedCount(std::uint64_t inContinuousIntegration)
+{
+    // CELERYLINE_SEEDS sets the number of seeds for a longer search.
+    const char* more = std::getenv("CELERYLINE_SEEDS");
+    return more == nullptr ? inContinuousIntegration : std::stoull(more);
+}
+
+/// @return why the cluster doesn't serve writes with a voter set of live machines; noProblem if it does.
+std::string findProblem(ReplacementSeries& series)
+{
+    auto isConverged = [&] { return series.simulation.isConverged(); };
+    auto problem = noProblem;
+    if (!series.commitsWithin(calmLimit)) {
+        problem = "no leader commits entries";
+    } else if (!series.hasTargetVotersWithin(voterSetLimit)) {
+        problem = "the voter set is incomplete or has a machine that isn't live";
+    } else if (!series.runUntil(isConverged, voterSetLimit)) {
+        problem = "the replicas don't converge";
+    }
+    return problem == noProblem ? noProblem : problem + ": " + series.describe();
+}
+
+/// Replaces a follower, then the leader twice, each as soon as the one before no longer counts as lost.
+void replaceFollowerThenLeaderTwice(ReplacementSeries& series, std::int64_t successorDelay)
+{
+    series.replace(series.follower(), successorDelay);
+    series.runUntilNoneLost();
+    for (int i = 0; i < 2; ++i) {
+        series.replace(series.leader(), successorDelay);
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+} // namespace
+
+// Guards against the loss of the majority when the voter set follows a replacement later than the platform
+// removes the next machine: of three voters, two were gone for good.
+TEST_CASE("Machines replaced one after the other leave a majority", "[consensus][replacement][known-red]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto successorDelay = GENERATE(1000, 300);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, successorDelay, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    replaceFollowerThenLeaderTwice(series, successorDelay);
+}
+
+// Shows that the simulated machines find each other and become voters if there is enough time for it.
+TEST_CASE("Machines replaced with long pauses leave a majority", "[consensus][replacement]")
+{
+    auto size = GENERATE(threeMachines, fourMachines, eightMachines);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 3; ++i) {
+        series.replace(i == 0 ? series.follower() : series.leader(), 1000);
+        series.run(15000);
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+// Guards against the same loss with five voters, of which two may be lost at once.
+TEST_CASE(
+    "Pairs of machines replaced one after the other leave a majority", "[consensus][replacement][known-red]")
+{
+    auto successorDelay = GENERATE(1000, 300);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(successorDelay, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), eightMachines);
+    for (int i = 0; i < 3; ++i) {
+        series.replace(series.follower(), successorDelay);
+        series.replace(series.leader(), successorDelay);
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+// Guards against a voter set that stops following a replacement because all processes restart, after which
+// the leader knows neither the contact times nor the learners of the leader before.
+TEST_CASE("A restart of all machines between two replacements leaves a majority",
+    "[consensus][replacement][known-red]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    // Processes that are killed are back within a second; machines without power stay away for longer.
+    auto downTime = GENERATE(700, 13500);
+    auto isLeaderFirst = GENERATE(false, true);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, downTime, isLeaderFirst, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 2; ++i) {
+        series.replace(isLeaderFirst ? series.leader() : series.follower(), 300);
+        series.run(1300);
+        series.killAllFor(downTime);
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+// Guards against counting a voter's absence anew from each change of leader.
+TEST_CASE(
+    "A change of leader between two replacements leaves a majority", "[consensus][replacement][known-red]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 3; ++i) {
+        series.replace(series.follower(), 300);
+        series.run(1300);
+        auto& leader = series.simulation.node(series.leader());
+        leader.core->transferLeadership({ 0 });
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+namespace {
+
+/// Result of a randomised run.
+struct SeriesResult {
+    std::string problem;
+    int replacements = 0;
+    std::uint64_t committed = 0;
+};
+
+/// Disturbs a random machine, or all, for a while. A machine is replaced only within the tolerance.
+/// @return whether a machine was replaced.
+bool disturb(ReplacementSeries& series, ClusterSize size)
+{
+    auto& simulation = series.simulation;
+    auto name = series.randomMachine();
+    if (name.empty())
+        return false;
+    auto upTo = [&](std::uint64_t limit) { return static_cast<std::int64_t>(simulation.randomBelow(limit)); };
+    if (simulation.randomBelow(2) == 0)
+        name = series.leader();
+    if (series.lostMachines(name) < size.tolerance() && simulation.randomBelow(4) != 0) {
+        series.replace(name, 300 + upTo(1000));
+        return true;
+    }
+    switch (simulation.randomBelow(16)) {
+    case 0:
+        series.killFor(name, 200 + upTo(2000));
+        break;
+    case 1:
+        series.isolateFor(name, 200 + upTo(6000));
+        break;
+    case 2:
+        series.freezeFor(name, 200 + upTo(6000));
+        break;
+    case 3:
+        series.killAllFor(200 + upTo(800));
+        break;
+    case 4:
+        simulation.network = { simulation.randomBelow(3) * 3, simulation.randomBelow(2) * 5,
+            simulation.randomBelow(4) == 0 ? 30U : 2U };
+        break;
+    default: // Leaves time without a disturbance, after which the next machine may be replaced.
+        break;
+    }
+    return false;
+}
+
+SeriesResult runRandomSeries(std::uint64_t seed, ClusterSize size, int rounds)
+{
+    ReplacementSeries series(seed, size);
+    SeriesResult result;
+    try {
+        for (int round = 0; round < rounds; ++round) {
+            result.replacements += disturb(series, size) ? 1 : 0;
+            series.run(static_cast<std::int64_t>(100 + series.simulation.randomBelow(800)));
+        }
+        series.simulation.network = {};
+        series.runUntilNoneLost();
+        result.problem = findProblem(series);
+    } catch (const InvariantViolation& e) {
+        result.problem = std::string(e.what()) + ": " + series.describe();
+    }
+    result.committed = series.simulation.committed();
+    return result;
+}
+
+} // namespace
+
+// Searches for series of replacements, overlapped by kills, isolated and frozen machines and lost messages,
+// after which there is no leader, a committed entry is lost or the voter set has other than live machines.
+TEST_CASE("Random series of replacements leave a majority", "[consensus][replacement][known-red]")
+{
+    auto seeds = seedCount(30);
+    SeriesResult total;
+    const ClusterSize sizes[] = { threeMachines, fourMachines, eightMachines };
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        const auto& size = sizes[seed % 3];
+        auto result = runRandomSeries(seed, size, 100);
+        INFO("seed " << seed << ", machines " << size.machines);
+        CHECK(result.problem == noProblem);
+        total.replacements += result.replacements;
+        total.committed += result.committed;
+    }
+    std::printf("replacement: seeds 1 to %d, %d machines replaced, %d entries committed\n",
+        static_cast<int>(seeds), total.replacements, static_cast<int>(total.committed));
+    // Guards against runs without replacements or commits.
+    CHECK(total.replacements > static_cast<int>(seeds) * 3);
+    CHECK(total.committed > seeds * 500);
+}
