Call a learner caught up by its lag in time, not by missing entries

What callers would see: after a machine was lost, its successor never becomes a voter while the log grows fast or the successor's disk is slow, so the next loss leaves no majority.

Cause: a learner counted as caught up only if it lacked at most 64 entries.

Change: a learner has caught up when it has confirmed all that the log held one election timeout ago (LogGrowth), and the first entry of the term, as before.

--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "celeryline/consensus/ElectionStatus.h"
+#include "celeryline/consensus/LogGrowth.h"
 #include "celeryline/consensus/RaftLog.h"
 #include "celeryline/consensus/RaftOptions.h"
 #include "celeryline/consensus/RaftOutput.h"
@@ -225,6 +226,7 @@
     Millis m_leadingSince;
     Millis m_nextHeartbeat;
     std::uint64_t m_termStartIndex = 0; ///< Index of the no-op entry that starts the leader's term.
+    detail::LogGrowth m_logGrowth; ///< Since the start of the term and an election timeout at most.
     VoterChange m_lastVoterChange;
     bool m_isTransferring = false;
     std::string m_transferTarget;
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -42,6 +42,7 @@
         }
         if (m_now >= m_nextHeartbeat) {
             m_nextHeartbeat = m_now + m_options.heartbeat;
+            recordLastIndex(m_logGrowth, { m_now, m_log.lastIndex() }, m_now - m_options.electionTimeout);
             maintainConfiguration();
             for (auto& [name, replica] : m_replicas)
                 sendTo(replica, true);
--- a/src/consensus/RaftElection.cpp
+++ b/src/consensus/RaftElection.cpp
@@ -136,6 +136,7 @@
     }
     appendAsLeader(LogEntryKind::Noop, m_log.lastTime(), "");
     m_termStartIndex = m_log.lastIndex();
+    m_logGrowth = {};
 }
 
 VoteRefusalReason RaftCore::preVoteRefusal(const RaftMessage& message) const
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -6,13 +6,6 @@
 #include <algorithm>
 
 namespace celeryline {
-namespace {
-
-/// A learner can be promoted to voter when it lacks at most this many entries, which a few messages transfer.
-constexpr std::uint64_t caughtUpThreshold = 64;
-
-} // namespace
-
 const detail::ReplicaState* RaftCore::findReplica(const ReplicaId& voter) const
 {
     auto found = m_replicas.find(voter.name);
@@ -267,8 +260,9 @@
         return LearnerReadiness::NoDurableStorage;
     // An empty replica can't vote. As a voter it would count towards the majority, so that the loss of
     // another voter could leave the log without one.
+    // The lag is limited in time, since a learner that keeps up may lack any number of entries of a fast log.
     bool hasEntries = replica.matchIndex >= m_termStartIndex
-        && replica.matchIndex + caughtUpThreshold >= m_log.lastIndex();
+        && replica.matchIndex >= lastIndexAt(m_logGrowth, m_now - m_options.electionTimeout);
     return hasEntries ? LearnerReadiness::Ready : LearnerReadiness::LacksEntries;
 }
 
--- a/test/VoterCluster.h
+++ b/test/VoterCluster.h
@@ -69,12 +69,16 @@
     void isolate(const std::string& name) { m_isolated.insert(name); }
     void reconnect(const std::string& name) { m_isolated.erase(name); }
 
+    /// Delays all messages to a replica.
+    void delay(const std::string& name, Millis duration) { m_delays[name] = duration; }
+
     /// Advances the simulated time.
     void run(Millis duration)
     {
         for (auto end = m_now + duration; m_now < end; m_now = m_now + tickInterval) {
             for (const auto& [name, core] : m_cores)
                 core->tick(m_now);
+            deliverDelayed();
             deliverAll();
             if (onTick)
                 onTick();
@@ -123,6 +127,23 @@
     std::function<void()> onTick; ///< Called after each tick.
 
 private:
+    void deliverDelayed()
+    {
+        while (!m_delayed.empty() && m_delayed.begin()->first <= m_now.count) {
+            auto message = std::move(m_delayed.begin()->second);
+            m_delayed.erase(m_delayed.begin());
+            deliver(message);
+        }
+    }
+
+    void deliver(const RaftMessage& message)
+    {
+        auto target = m_cores.find(message.to.name);
+        bool isLost = m_isolated.count(message.from.name) + m_isolated.count(message.to.name) != 0;
+        if (!isLost && target != m_cores.end())
+            target->second->receive(m_now, message);
+    }
+
     void deliverAll()
     {
         for (bool isIdle = false; !isIdle;) {
@@ -137,10 +158,12 @@
         auto output = core.takeOutput();
         core.persisted(output.persistId);
         for (const auto& message : output.messages) {
-            auto target = m_cores.find(message.to.name);
-            bool isLost = m_isolated.count(message.from.name) + m_isolated.count(message.to.name) != 0;
-            if (!isLost && target != m_cores.end())
-                target->second->receive(m_now, message);
+            auto delay = m_delays.find(message.to.name);
+            if (delay == m_delays.end()) {
+                deliver(message);
+            } else {
+                m_delayed.emplace((m_now + delay->second).count, message);
+            }
         }
         return output.persistId != 0 || !output.messages.empty();
     }
@@ -150,6 +173,8 @@
     std::map<std::string, std::unique_ptr<RaftCore>> m_cores;
     std::map<std::string, std::string> m_storageIds;
     std::set<std::string> m_isolated;
+    std::map<std::string, Millis> m_delays; ///< By name of the receiver.
+    std::multimap<std::int64_t, RaftMessage> m_delayed; ///< By time of arrival.
 };
 
 } // namespace celeryline::test
