Log changes of the voter set, lost voters and elections that don't end

VoterLog and ElectionLog compare a replica with its state at the last tick and return lines: voters-changed (from, to, added, removed, index, whether committed, on the leader the reason), voter-unreachable and voter-reachable, voter-not-replaced with what the replacement waits for (at most every 3 s), learner-ready and learner-not-ready, caught-up, became-voter, no-longer-voter, leadership-lost with the silence of each voter, election-stalled with the voters that granted, refused or didn't answer, and vote-refused with the reason (both at most every 2 s). leader-found, leader-lost and leading name the voters. All lists are bounded. A tick compares the configuration; the leader looks at its voters every 100 ms; nothing is done per message.

Before, a lost and replaced voter left no line on any process.

--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -6,8 +6,10 @@
 #include "celeryline/consensus/LogDriver.h"
 #include "celeryline/control/ControlTimes.h"
 #include "celeryline/control/DiskThread.h"
+#include "celeryline/control/ElectionLog.h"
 #include "celeryline/control/LeaderClient.h"
 #include "celeryline/control/LoopLag.h"
+#include "celeryline/control/VoterLog.h"
 #include "celeryline/jobs/JobMaster.h"
 #include "celeryline/machines/MachineMaster.h"
 #include "celeryline/membership/Formation.h"
@@ -124,6 +126,7 @@
     void finishRound(const std::string& storageError);
     void tickMasters();
     void logStorageChange();
+    void logVoters();
     void onRoleChange();
     void scheduleTick();
     void recordLag(Millis due);
@@ -146,6 +149,8 @@
     bool m_isRoundRunning = false;
     std::uint64_t m_startedTerm = 0; ///< Term in which the masters were last started.
     std::string m_loggedLeader;
+    VoterLog m_voterLog;
+    ElectionLog m_electionLog;
     LoopLag m_lag;
     bool m_wasOverloaded = false; ///< Last logged state.
     bool m_wasStorageFailed = false; ///< Last logged state of the storage.
--- a/include/celeryline/settings/EventLog.h
+++ b/include/celeryline/settings/EventLog.h
@@ -76,6 +76,9 @@
     /// changes.
     void writeAlways();
 
+    /// @return the line as it is written.
+    std::string line() const { return m_text + "}"; }
+
 private:
     void emit();
 
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -1,6 +1,7 @@
 #include "celeryline/control/ControlNode.h"
 
 #include "celeryline/consensus/LogFormation.h"
+#include "celeryline/control/ReplicaNames.h"
 #include "celeryline/settings/EventLog.h"
 #include "celeryline/settings/Logging.h"
 
@@ -28,6 +29,7 @@
     , m_formation(m_options.address, m_options.seeds, m_options.isFirstStart, m_options.voters)
     , m_links(timer, network)
     , m_client(m_links, {})
+    , m_voterLog(m_options.electionTimeout)
     , m_tasks(*this)
     , m_server(network, m_options.address, *this)
 {
@@ -223,15 +225,27 @@
         .writeAlways();
 }
 
+void ControlNode::logVoters()
+{
+    if (!m_log.failure().empty())
+        return;
+    for (auto& event : m_voterLog.observe(m_log.core(), m_clock.now()))
+        event.writeAlways();
+    for (auto& event : m_electionLog.observe(m_log.core(), m_clock.now()))
+        event.writeAlways();
+}
+
 void ControlNode::onRoleChange()
 {
+    const auto& configuration = m_log.core().log().configuration();
     if (leader() != m_loggedLeader) {
         m_loggedLeader = leader();
         m_client.setLeader(leader() == m_options.address ? "" : leader());
         Event(leader().empty() ? "leader-lost" : "leader-found")
             .with("term", term())
             .with("leader", leader())
-            .with("voters", m_log.core().log().configuration().voters.size())
+            .with("voters", configuration.voters.size())
+            .with("voterNames", voterNames(configuration))
             .with("committed", m_log.core().commitIndex())
             .writeAlways();
     }
@@ -239,6 +253,8 @@
         m_startedTerm = term();
         Event("leading")
             .with("term", term())
+            .with("voters", configuration.voters.size())
+            .with("voterNames", voterNames(configuration))
             .with("openJobs", m_store.openJobs().size())
             .with("configuration", m_store.configuration().version)
             .writeAlways();
@@ -254,6 +270,7 @@
     m_tasks.add(m_timer.afterDelay(toKj(tickInterval)).then([this, due] {
         recordLag(due);
         m_log.tick(m_clock.now());
+        logVoters();
         scheduleRound();
         scheduleTick();
     }));
--- a/src/settings/EventLog.cpp
+++ b/src/settings/EventLog.cpp
@@ -97,8 +97,7 @@
 void Event::emit()
 {
     static const auto events = logger("event");
-    m_text += "}";
-    LOG4CXX_INFO(events, m_text);
+    LOG4CXX_INFO(events, line());
 }
 
 void setUpEventLog(const std::string& instance)
--- /dev/null
+++ b/test/ElectionLogTest.cpp
@@ -0,0 +1,112 @@
+#include "celeryline/control/ElectionLog.h"
+
+#include "EventLines.h"
+#include "VoterCluster.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using celeryline::test::collect;
+using celeryline::test::EventLine;
+using celeryline::test::linesNamed;
+using celeryline::test::VoterCluster;
+
+namespace {
+
+/// A cluster of which each replica has an ElectionLog.
+struct LoggedCluster {
+    LoggedCluster()
+        : cluster({ "a", "b", "c" })
+    {
+        cluster.onTick = [this] { observe(); };
+        REQUIRE_FALSE(cluster.runUntilLeader().empty());
+        cluster.run({ 1000 });
+    }
+
+    void observe()
+    {
+        for (const auto& [name, core] : cluster.cores())
+            collect(lines, name, logs[name].observe(*core, cluster.now()));
+    }
+
+    VoterCluster cluster;
+    std::map<std::string, ElectionLog> logs;
+    std::vector<EventLine> lines;
+};
+
+} // namespace
+
+// Guards against the log of the incident: a minute without a leader, and no line that says whose votes lack.
+TEST_CASE("An election that doesn't end is logged with the missing voters", "[control]")
+{
+    LoggedCluster logged;
+    auto& cluster = logged.cluster;
+    REQUIRE(linesNamed(logged.lines, "election-stalled").empty());
+    auto candidate = cluster.follower();
+    for (const std::string name : { "a", "b", "c" }) {
+        if (name != candidate)
+            cluster.stop(name);
+    }
+    cluster.run({ 10000 });
+    auto lines = linesNamed(logged.lines, "election-stalled");
+    REQUIRE(lines.size() >= 3);
+    REQUIRE(lines.size() <= 6);
+    const auto& line = lines.back();
+    REQUIRE(line.get("kind") == "pre-vote");
+    REQUIRE(line.number("voters") == 3);
+    REQUIRE(line.number("majority") == 2);
+    REQUIRE(line.get("granted") == candidate + "/disk-of-");
+    REQUIRE(line.get("refused").empty());
+    std::string missing;
+    for (const std::string name : { "a", "b", "c" }) {
+        if (name != candidate)
+            missing += (missing.empty() ? "" : ",") + name + "/disk-of-";
+    }
+    REQUIRE(line.get("missing") == missing);
+    REQUIRE(logged.logs[candidate].roundCount() == cluster.core(candidate).electionRounds());
+}
+
+// Guards against a request that is ignored because the voter has a new disk, which looks like a dead voter to
+// the candidate.
+TEST_CASE("The refusing replica logs its reason at a bounded rate", "[control]")
+{
+    LoggedCluster logged;
+    auto& cluster = logged.cluster;
+    auto leader = cluster.leader();
+    auto replaced = cluster.follower();
+    cluster.stop(leader);
+    cluster.stop(replaced);
+    cluster.start(replaced, "new-disk");
+    logged.logs[replaced] = {};
+    logged.lines.clear();
+    cluster.run({ 10000 });
+    auto lines = linesNamed(logged.lines, "vote-refused");
+    REQUIRE(lines.size() >= 3);
+    REQUIRE(lines.size() <= 6);
+    std::int64_t refusals = 0;
+    for (const auto& line : lines) {
+        REQUIRE(line.instance == replaced);
+        REQUIRE(line.get("reason") == "other-storage-id");
+        refusals += line.number("refusals");
+    }
+    REQUIRE(refusals > static_cast<std::int64_t>(lines.size()));
+}
+
+// Guards against a count of elections that starts anew after a storage error, which a counter can't do.
+TEST_CASE("Rounds are counted on when the replica is opened again", "[control]")
+{
+    LoggedCluster logged;
+    auto& cluster = logged.cluster;
+    auto name = cluster.follower();
+    for (const std::string other : { "a", "b", "c" }) {
+        if (other != name)
+            cluster.stop(other);
+    }
+    cluster.run({ 3000 });
+    auto rounds = logged.logs[name].roundCount();
+    REQUIRE(rounds > 0);
+    cluster.stop(name);
+    cluster.start(name);
+    logged.observe();
+    REQUIRE(logged.logs[name].roundCount() == rounds);
+}
