Export metrics of the voter set and elections

No metric showed how many voters the leader reaches, so that the loss of one more voter than the log survives could only be seen once it had happened.

The numbers are computed when the metrics are read, by summarizeVoters() from the replica's state.

Before, the metrics page had none of them.

--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -10,6 +10,7 @@
 #include "celeryline/control/LeaderClient.h"
 #include "celeryline/control/LoopLag.h"
 #include "celeryline/control/VoterLog.h"
+#include "celeryline/control/VoterSummary.h"
 #include "celeryline/jobs/JobMaster.h"
 #include "celeryline/machines/MachineMaster.h"
 #include "celeryline/membership/Formation.h"
@@ -104,6 +105,9 @@
     /// @return whether this process is ready, i.e. knows a leader.
     bool isReady() const { return !leader().empty(); }
 
+    /// @return numbers about the voter set and elections.
+    VoterSummary voterSummary() const;
+
 private:
     void onRaft(const RaftMessage& message) override;
     Introduction onIntroduction(const Introduction& other) override;
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -235,6 +235,14 @@
         event.writeAlways();
 }
 
+VoterSummary ControlNode::voterSummary() const
+{
+    auto summary = m_log.failure().empty() ? summarizeVoters(m_log.core()) : VoterSummary {};
+    summary.electionRounds = m_electionLog.roundCount();
+    summary.changes = m_voterLog.changeCount();
+    return summary;
+}
+
 void ControlNode::onRoleChange()
 {
     const auto& configuration = m_log.core().log().configuration();
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -98,3 +98,19 @@
     SingleNode restarted(io, files, address, false);
     REQUIRE(restarted.waitFor([&] { return restarted.node().store().jobCount() == jobs; }));
 }
+
+// Guards against metrics about voters that no process fills.
+TEST_CASE("A control process reports its voters and elections", "[control]")
+{
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    SingleNode single(io, files, freeAddress(), true);
+    REQUIRE(single.waitFor([&] { return single.node().isLeading(); }));
+    REQUIRE(single.waitFor([&] { return single.node().voterSummary().changes == 1; }));
+    auto summary = single.node().voterSummary();
+    REQUIRE(summary.voters == 1);
+    REQUIRE(summary.majority == 1);
+    REQUIRE(summary.reached == 1);
+    REQUIRE(summary.electionRounds >= 1);
+    REQUIRE(summary.longestSilence == Millis {});
+}
