Print the lines about voters and elections in explain-log

explain-log prints what happened to the processes around a request only for the event names that it knows. Without the new ones, the timeline of a request that failed for want of a leader still didn't show why there was none.

The events about the voter set and elections are now printed like leader-found. The new test fails for each name that is missing in the list; it passes for all thirteen.

--- a/src/cli/ExplainLogCommand.cpp
+++ b/src/cli/ExplainLogCommand.cpp
@@ -20,9 +20,12 @@
 
 bool isProcessEvent(const std::string& event)
 {
-    static const std::array<const char*, 16> events { "started", "stopping", "stopped", "reload",
+    static const std::array<const char*, 29> events { "started", "stopping", "stopped", "reload",
         "log-formed", "log-joined", "leader-found", "leader-lost", "leading", "leadership-handed-over",
-        "storage-failed", "storage-recovered", "control-lost", "control-found", "refusing", "not-refusing" };
+        "leadership-lost", "storage-failed", "storage-recovered", "control-lost", "control-found", "refusing",
+        "not-refusing", "voters-changed", "voter-unreachable", "voter-reachable", "voter-not-replaced",
+        "learner-ready", "learner-not-ready", "caught-up", "became-voter", "no-longer-voter",
+        "election-stalled", "no-leader-to-follow", "vote-refused" };
     return std::find(events.begin(), events.end(), event) != events.end();
 }
 
--- a/test/ExplainLogTest.cpp
+++ b/test/ExplainLogTest.cpp
@@ -53,3 +53,17 @@
     REQUIRE(timeline[2].event == "end");
     REQUIRE(selectRelevantLines({ lines[1], lines[4] }).empty());
 }
+
+// Guards against a request that failed for want of a leader while the printed timeline doesn't show why there
+// was none.
+TEST_CASE("The lines about voters and elections around a request are printed", "[cli]")
+{
+    for (const std::string event : { "leadership-lost", "voters-changed", "voter-unreachable",
+             "voter-reachable", "voter-not-replaced", "learner-ready", "learner-not-ready", "caught-up",
+             "became-voter", "no-longer-voter", "election-stalled", "no-leader-to-follow", "vote-refused" }) {
+        INFO(event);
+        auto line = parse(R"({"event":")" + event + R"(","instance":"c2","timeMs":3000,"term":7})");
+        auto request = parse(R"({"event":"end","instance":"c1","timeMs":4000,"job":"5c0e7a21d94b36f8"})");
+        REQUIRE(selectRelevantLines({ line, request }).size() == 2);
+    }
+}
