Log that a replica without a vote has no leader to follow

A control process that isn't a voter and knows no leader holds no election, so it left no line after "started": in the trial on real processes the replacement that came after the loss of the majority was silent.

It now writes no-leader-to-follow after a second and then every 2 s, with the voters that it knows and its last entry. Before, the process left no line; in the new test it leaves 3 to 6 of them in 10 s, and none while it follows a leader.

--- a/include/celeryline/control/ElectionLog.h
+++ b/include/celeryline/control/ElectionLog.h
@@ -6,12 +6,13 @@
 #include "celeryline/settings/EventLog.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace celeryline {
 
-/// Observes a replica and states as log lines whose votes an election lacks, and why this replica refuses its
-/// own vote.
+/// Observes a replica and states as log lines whose votes an election lacks, that this replica waits for a
+/// leader without a vote of its own, and why it refuses its vote to others.
 ///
 /// Example: `for (auto& event : electionLog.observe(core, clock.now())) event.writeAlways();`
 class ElectionLog {
@@ -29,12 +30,14 @@
 private:
     void countRounds(const RaftCore& core);
     void observeElection(const RaftCore& core, Millis now);
+    void observeLearner(const RaftCore& core, Millis now);
     void observeRefusals(const RaftCore& core, Millis now);
 
     std::vector<Event> m_events;
     std::uint64_t m_roundCount = 0;
     std::uint64_t m_seenRounds = 0; ///< Of the current replica.
     Millis m_nextStalledLine;
+    std::optional<Millis> m_nextWaitingLine; ///< Set while this replica has neither a leader nor a vote.
     std::uint64_t m_loggedRefusals = 0; ///< Of the current replica.
     Millis m_nextRefusalLine;
 };
--- a/src/control/ElectionLog.cpp
+++ b/src/control/ElectionLog.cpp
@@ -41,6 +41,7 @@
 {
     countRounds(core);
     observeElection(core, now);
+    observeLearner(core, now);
     observeRefusals(core, now);
     return std::exchange(m_events, {});
 }
@@ -75,6 +76,25 @@
                            .with("lastTerm", core.log().lastTerm()));
 }
 
+void ElectionLog::observeLearner(const RaftCore& core, Millis now)
+{
+    if (!core.leader().empty() || core.isVoter()) {
+        m_nextWaitingLine.reset();
+        return;
+    }
+    if (!m_nextWaitingLine)
+        m_nextWaitingLine = now + minStalledTime;
+    if (now < *m_nextWaitingLine)
+        return;
+    m_nextWaitingLine = now + stalledLineInterval;
+    const auto& configuration = core.log().configuration();
+    m_events.push_back(Event("no-leader-to-follow")
+                           .with("term", core.term())
+                           .with("voters", configuration.voters.size())
+                           .with("voterNames", voterNames(configuration))
+                           .with("lastIndex", core.log().lastIndex()));
+}
+
 void ElectionLog::observeRefusals(const RaftCore& core, Millis now)
 {
     const auto& refusal = core.lastVoteRefusal();
--- a/test/ElectionLogTest.cpp
+++ b/test/ElectionLogTest.cpp
@@ -92,6 +92,27 @@
     REQUIRE(refusals > static_cast<std::int64_t>(lines.size()));
 }
 
+// Guards against a process that waits for a leader in silence because it doesn't vote: an election can't end
+// if all that remain are learners.
+TEST_CASE("A replica without a vote logs that it has no leader to follow", "[control]")
+{
+    LoggedCluster logged;
+    auto& cluster = logged.cluster;
+    cluster.start("d");
+    cluster.run({ 1000 });
+    REQUIRE(linesNamed(logged.lines, "no-leader-to-follow").empty());
+    for (const std::string name : { "a", "b", "c" })
+        cluster.stop(name);
+    logged.lines.clear();
+    cluster.run({ 10000 });
+    auto lines = linesNamed(logged.lines, "no-leader-to-follow");
+    REQUIRE(lines.size() >= 3);
+    REQUIRE(lines.size() <= 6);
+    REQUIRE(lines[0].instance == "d");
+    REQUIRE(lines[0].get("voterNames") == "a,b,c");
+    REQUIRE(linesNamed(logged.lines, "election-stalled").empty());
+}
+
 // Guards against a count of elections that starts anew after a storage error, which a counter can't do.
 TEST_CASE("Rounds are counted on when the replica is opened again", "[control]")
 {
