--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -161,6 +161,10 @@
     void acceptLeader(const RaftMessage& message);
     void onAppend(const RaftMessage& message);
     void appendReceived(const std::vector<LogEntry>& entries);
+
+    // Snapshots (RaftSnapshot.cpp)
+    void sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat);
+    void onSnapshotReply(const RaftMessage& message);
     void onSnapshot(const RaftMessage& message);
     void installSnapshot(const RaftMessage& message);
 
@@ -168,9 +172,7 @@
     detail::ReplicaState* recordReply(const RaftMessage& reply);
     const detail::ReplicaState* findReplica(const ReplicaId& voter) const;
     void onAppendReply(const RaftMessage& message);
-    void onSnapshotReply(const RaftMessage& message);
     void sendTo(detail::ReplicaState& replica, bool isHeartbeat);
-    void sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat);
     void advanceCommitIndex();
     VoterChangeBlocker changeBlocker() const;
     bool changeVoters(
--- a/src/consensus/RaftFollower.cpp
+++ b/src/consensus/RaftFollower.cpp
@@ -1,5 +1,4 @@
-// Followers and learners: entries and snapshots from the leader.
-#include "celeryline/base/Error.h"
+// Followers and learners: entries from the leader.
 #include "celeryline/base/LogInvariant.h"
 #include "celeryline/consensus/RaftCore.h"
 
@@ -90,72 +89,4 @@
     m_role = isVoter() ? ConsensusRole::Follower : ConsensusRole::Learner;
 }
 
-void RaftCore::onSnapshot(const RaftMessage& message)
-{
-    if (message.term < m_term.term) {
-        auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
-        reply.rejected = true;
-        reply.logIndex = m_log.lastIndex();
-        sendWhenPersisted(std::move(reply));
-        return;
-    }
-    acceptLeader(message);
-    auto reply = makeMessage(RaftMessageKind::SnapshotReply, message.from);
-    reply.sequence = message.sequence;
-    reply.logIndex = message.logIndex;
-    reply.snapshotOffset = 0;
-    if (message.logIndex <= m_commitIndex || m_log.termAt(message.logIndex) == message.logTerm) {
-        // The log already contains the snapshot's entries. Installing it could remove later entries that were
-        // acknowledged.
-        if (message.logIndex > m_commitIndex)
-            setCommitIndex(message.logIndex);
-        m_incomingSnapshot.clear();
-        reply.snapshotEnd = true;
-        sendWhenPersisted(std::move(reply));
-        return;
-    }
-    if (message.snapshotOffset == 0 || message.logIndex != m_incomingSnapshotIndex
-        || message.logTerm != m_incomingSnapshotTerm) {
-        m_incomingSnapshot.clear();
-        m_incomingSnapshotIndex = message.logIndex;
-        m_incomingSnapshotTerm = message.logTerm;
-    }
-    if (message.snapshotOffset == m_incomingSnapshot.size()) {
-        m_incomingSnapshot += message.snapshotChunk;
-    } else {
-        reply.rejected = true;
-    }
-    if (!reply.rejected && message.snapshotEnd) {
-        try {
-            installSnapshot(message);
-            reply.snapshotEnd = true;
-        } catch (const Error&) {
-            reply.rejected = true; // Makes the leader restart at offset 0.
-        }
-        m_incomingSnapshot.clear();
-    }
-    reply.snapshotOffset = m_incomingSnapshot.size();
-    sendWhenPersisted(std::move(reply));
-}
-
-void RaftCore::installSnapshot(const RaftMessage& message)
-{
-    auto received = std::make_shared<ReceivedSnapshot>();
-    received->snapshot
-        = decodeSnapshot(m_incomingSnapshot, "snapshot received from \"" + message.from.name + "\"");
-    received->bytes = std::move(m_incomingSnapshot);
-    const auto& snapshot = received->snapshot;
-    requireInvariant(snapshot.index == message.logIndex && snapshot.term == message.logTerm,
-        "a snapshot is the one that was announced");
-    m_log = RaftLog(snapshot, {});
-    m_commitIndex = snapshot.index;
-    m_deliveredIndex = snapshot.index;
-    m_durableIndex = 0;
-    m_role = isVoter() ? ConsensusRole::Follower : ConsensusRole::Learner;
-    m_output.entries.clear();
-    m_output.truncateFrom = 0;
-    m_output.snapshot = received;
-    m_mustPersist = true;
-}
-
 } // namespace celeryline
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -119,23 +119,6 @@
     continueTransfer();
 }
 
-void RaftCore::onSnapshotReply(const RaftMessage& message)
-{
-    auto* replica = recordReply(message);
-    if (replica == nullptr || message.logIndex != replica->snapshotIndex)
-        return;
-    replica->isChunkInFlight = false;
-    if (!message.snapshotEnd) {
-        replica->snapshotOffset = message.snapshotOffset;
-        return;
-    }
-    replica->matchIndex = std::max(replica->matchIndex, message.logIndex);
-    replica->nextIndex = replica->matchIndex + 1;
-    replica->snapshotIndex = 0;
-    replica->isProbing = false;
-    advanceCommitIndex();
-}
-
 void RaftCore::sendTo(detail::ReplicaState& replica, bool isHeartbeat)
 {
     if (replica.nextIndex <= m_log.baseIndex()) {
@@ -174,49 +157,6 @@
     }
 }
 
-void RaftCore::sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat)
-{
-    // A transfer in progress continues even if a newer snapshot exists, unless the entries that follow the
-    // old one have been compacted.
-    if (m_outgoingSnapshot == nullptr || m_outgoingSnapshotIndex < m_log.baseIndex()) {
-        m_outgoingSnapshot.reset();
-        m_output.needsSnapshot = true;
-        if (isHeartbeat) {
-            auto message = makeMessage(RaftMessageKind::Append, replica.id);
-            message.logIndex = m_log.lastIndex();
-            message.logTerm = m_log.lastTerm();
-            message.sequence = static_cast<std::uint64_t>(m_now.count);
-            send(std::move(message));
-        }
-        return;
-    }
-    if (replica.snapshotIndex != m_outgoingSnapshotIndex) {
-        replica.snapshotIndex = m_outgoingSnapshotIndex;
-        replica.snapshotOffset = 0;
-        replica.isChunkInFlight = false;
-    }
-    // A heartbeat repeats the chunk, in case it was lost.
-    if (replica.isChunkInFlight && !isHeartbeat)
-        return;
-    auto message = makeMessage(RaftMessageKind::Snapshot, replica.id);
-    message.logIndex = m_outgoingSnapshotIndex;
-    message.logTerm = m_outgoingSnapshotTerm;
-    message.sequence = static_cast<std::uint64_t>(m_now.count);
-    message.snapshotOffset = replica.snapshotOffset;
-    message.snapshotChunk = m_outgoingSnapshot->substr(replica.snapshotOffset, m_options.snapshotChunkBytes);
-    message.snapshotEnd = replica.snapshotOffset + message.snapshotChunk.size() == m_outgoingSnapshot->size();
-    replica.isChunkInFlight = true;
-    send(std::move(message));
-}
-
-void RaftCore::provideSnapshot(
-    std::uint64_t index, std::uint64_t term, std::shared_ptr<const std::string> bytes)
-{
-    m_outgoingSnapshotIndex = index;
-    m_outgoingSnapshotTerm = term;
-    m_outgoingSnapshot = std::move(bytes);
-}
-
 VoterChangeBlocker RaftCore::changeBlocker() const
 {
     if (m_isTransferring)
