Test the end of an election status and rounds after a reopened replica

The three tests now bring about these cases: a cut off voter that returns, a second replica with a smaller count, a first message without a commit index.

--- a/test/ElectionLogTest.cpp
+++ b/test/ElectionLogTest.cpp
@@ -116,18 +116,18 @@
 // Guards against a count of elections that starts anew after a storage error, which a counter can't do.
 TEST_CASE("Rounds are counted on when the replica is opened again", "[control]")
 {
-    LoggedCluster logged;
-    auto& cluster = logged.cluster;
-    auto name = cluster.follower();
-    for (const std::string other : { "a", "b", "c" }) {
-        if (other != name)
-            cluster.stop(other);
-    }
-    cluster.run({ 3000 });
-    auto rounds = logged.logs[name].roundCount();
-    REQUIRE(rounds > 0);
-    cluster.stop(name);
-    cluster.start(name);
-    logged.observe();
-    REQUIRE(logged.logs[name].roundCount() == rounds);
+    LoggedCluster before;
+    auto name = before.cluster.follower();
+    before.cluster.isolate(name);
+    before.cluster.run({ 5000 });
+    LoggedCluster after;
+    after.cluster.isolate(name);
+    after.cluster.run({ 2000 });
+    auto rounds = before.cluster.core(name).electionRounds();
+    auto roundsAfter = after.cluster.core(name).electionRounds();
+    REQUIRE(roundsAfter > 0);
+    REQUIRE(roundsAfter < rounds);
+    REQUIRE(before.logs[name].roundCount() == rounds);
+    before.logs[name].observe(after.cluster.core(name), after.cluster.now());
+    REQUIRE(before.logs[name].roundCount() == rounds + roundsAfter);
 }
--- a/test/ElectionStatusTest.cpp
+++ b/test/ElectionStatusTest.cpp
@@ -50,7 +50,13 @@
 {
     VoterCluster cluster({ "a", "b", "c" });
     REQUIRE_FALSE(cluster.runUntilLeader().empty());
+    auto follower = cluster.follower();
+    cluster.isolate(follower);
+    cluster.run({ 3000 });
+    REQUIRE(cluster.core(follower).electionStatus());
+    cluster.reconnect(follower);
     cluster.run({ 1000 });
+    REQUIRE_FALSE(cluster.leader().empty());
     for (const auto& [name, core] : cluster.cores())
         REQUIRE_FALSE(core->electionStatus());
 }
@@ -132,6 +138,13 @@
     cluster.run({ 200 });
     cluster.start("d");
     REQUIRE_FALSE(cluster.core("d").hasLeaderCommits());
+    RaftMessage message;
+    message.from = cluster.idOf("a");
+    message.to = cluster.idOf("d");
+    message.term = cluster.core("a").term();
+    cluster.core("d").receive(cluster.now(), message);
+    REQUIRE(cluster.core("d").leader() == "a");
+    REQUIRE_FALSE(cluster.core("d").hasLeaderCommits());
     cluster.run({ 500 });
     REQUIRE(cluster.core("d").hasLeaderCommits());
 }
