Log a replaced voter change as committed, a replaced disk without silence

Reading the diff showed two false statements: the line about a change that a new leader replaced said isCommitted=false although the configuration that returned is committed, and the change for a replaced disk gave the time since the beginning of the term as silence of an instance that is in contact.

The line now states what holds for the newest configuration, and a replaced disk has no lost voter or silence (the line's removed field names it). An unchanged configuration is no longer copied at each tick. The new test and the extended one fail without the changes.

--- a/include/celeryline/consensus/VoterConfiguration.h
+++ b/include/celeryline/consensus/VoterConfiguration.h
@@ -27,6 +27,7 @@
 {
     return a.voters == b.voters;
 }
+inline bool operator!=(const VoterConfiguration& a, const VoterConfiguration& b) { return !(a == b); }
 
 /// @return the encoding of a configuration, used as payload of a LogEntry of kind Configuration.
 std::string encodeConfiguration(const VoterConfiguration& configuration);
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -249,7 +249,7 @@
             continue;
         // The voter returned with a new storage id, so the disk that it voted with is lost.
         changed.voters.erase(std::find(changed.voters.begin(), changed.voters.end(), voter));
-        changeVoters(changed, VoterChangeReason::DiskReplaced, voter);
+        changeVoters(changed, VoterChangeReason::DiskReplaced);
         return true;
     }
     return false;
--- a/src/control/VoterLog.cpp
+++ b/src/control/VoterLog.cpp
@@ -51,16 +51,17 @@
 void VoterLog::observeConfiguration(const RaftCore& core)
 {
     const auto& newest = core.log().configuration();
-    bool isAppended = !(newest == m_appended);
     bool isCommitted = core.commitIndex() >= core.log().configurationIndex();
-    auto before = isAppended ? std::exchange(m_appended, newest) : newest;
-    if (isAppended)
+    bool isNewlyCommitted = isCommitted && newest != m_committed;
+    bool isNewlyAppended = newest != m_appended;
+    if (!isNewlyAppended && !isNewlyCommitted)
+        return;
+    if (isNewlyAppended)
         ++m_changeCount;
-    if (isCommitted && !(newest == m_committed)) {
-        logChange(core, std::exchange(m_committed, newest), true);
-    } else if (isAppended) {
-        logChange(core, before, false);
-    }
+    auto from = std::exchange(m_appended, newest);
+    if (isNewlyCommitted)
+        from = std::exchange(m_committed, newest);
+    logChange(core, from, isCommitted);
 }
 
 void VoterLog::logChange(const RaftCore& core, const VoterConfiguration& from, bool isCommitted)
--- a/test/VoterLogTest.cpp
+++ b/test/VoterLogTest.cpp
@@ -176,6 +176,33 @@
     REQUIRE(lost.size() == found.size());
 }
 
+// Guards against a returned configuration that is logged as not committed: an entry that never reached a
+// majority is replaced by a new leader.
+TEST_CASE("A change that is replaced before its commit is logged back", "[control]")
+{
+    LoggedCluster logged({ "a", "b", "c" });
+    auto& cluster = logged.cluster;
+    auto leader = cluster.leader();
+    cluster.start("d");
+    cluster.run({ 500 });
+    cluster.isolate(leader);
+    logged.lines.clear();
+    auto changed = cluster.core(leader).log().configuration();
+    changed.voters.push_back(cluster.idOf("d"));
+    REQUIRE(cluster.core(leader).changeConfiguration(changed));
+    cluster.run({ 3000 });
+    cluster.reconnect(leader);
+    cluster.run({ 1000 });
+    auto changes = logged.linesOf(leader, "voters-changed");
+    REQUIRE(changes.size() == 2);
+    REQUIRE(changes[0].get("added") == describe(cluster.idOf("d")));
+    REQUIRE(changes[0].get("isCommitted") == "false");
+    REQUIRE(changes[0].get("reason") == "requested");
+    REQUIRE(changes[1].get("removed") == describe(cluster.idOf("d")));
+    REQUIRE(changes[1].get("isCommitted") == "true");
+    REQUIRE_FALSE(changes[1].fields->has("reason"));
+}
+
 // Guards against a voter that loses its vote without saying so in its own log.
 TEST_CASE("A voter that was replaced while it was cut off logs that it no longer votes", "[control]")
 {
--- a/test/VoterSetStatusTest.cpp
+++ b/test/VoterSetStatusTest.cpp
@@ -81,6 +81,7 @@
     std::vector<VoterChangeReason> reasons;
     cluster.onTick = [&] {
         const auto& change = cluster.core(cluster.leader()).lastVoterChange();
+        REQUIRE(change.silent == Millis {}); // The instance is in contact.
         if (change.index != 0 && (reasons.empty() || reasons.back() != change.reason))
             reasons.push_back(change.reason);
     };
