--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -6,8 +6,11 @@
 #include "celeryline/consensus/LogDriver.h"
 #include "celeryline/control/ControlTimes.h"
 #include "celeryline/control/DiskThread.h"
+#include "celeryline/control/ElectionLog.h"
 #include "celeryline/control/LeaderClient.h"
 #include "celeryline/control/LoopLag.h"
+#include "celeryline/control/VoterLog.h"
+#include "celeryline/control/VoterSummary.h"
 #include "celeryline/jobs/JobMaster.h"
 #include "celeryline/machines/MachineMaster.h"
 #include "celeryline/membership/Formation.h"
@@ -104,6 +107,9 @@
     /// @return whether this process is ready, i.e. knows a leader.
     bool isReady() const { return !leader().empty(); }
 
+    /// @return numbers about the voter set and elections.
+    VoterSummary voterSummary() const;
+
 private:
     void onRaft(const RaftMessage& message) override;
     Introduction onIntroduction(const Introduction& other) override;
@@ -127,6 +133,7 @@
     void finishRound(const std::string& storageError);
     void tickMasters();
     void logStorageChange();
+    void logVoters();
     void onRoleChange();
     void scheduleTick();
     void recordLag(Millis due);
@@ -149,6 +156,8 @@
     bool m_isRoundRunning = false;
     std::uint64_t m_startedTerm = 0; ///< Term in which the masters were last started.
     std::string m_loggedLeader;
+    VoterLog m_voterLog;
+    ElectionLog m_electionLog;
     LoopLag m_lag;
     bool m_wasOverloaded = false; ///< Last logged state.
     bool m_wasStorageFailed = false; ///< Last logged state of the storage.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryline/consensus/LogFormation.h"
 #include "celeryline/consensus/VoterReplacement.h"
+#include "celeryline/control/ReplicaNames.h"
 #include "celeryline/settings/EventLog.h"
 #include "celeryline/settings/Logging.h"
 
@@ -29,6 +30,7 @@
     , m_formation(m_options.address, m_options.seeds, m_options.isFirstStart, m_options.voters)
     , m_links(timer, network)
     , m_client(m_links, {})
+    , m_voterLog(m_options.electionTimeout)
     , m_tasks(*this)
     , m_server(network, m_options.address, *this)
 {
@@ -236,15 +238,35 @@
         .writeAlways();
 }
 
+void ControlNode::logVoters()
+{
+    if (!m_log.failure().empty())
+        return;
+    for (auto& event : m_voterLog.observe(m_log.core(), m_clock.now()))
+        event.writeAlways();
+    for (auto& event : m_electionLog.observe(m_log.core(), m_clock.now()))
+        event.writeAlways();
+}
+
+VoterSummary ControlNode::voterSummary() const
+{
+    auto summary = m_log.failure().empty() ? summarizeVoters(m_log.core()) : VoterSummary {};
+    summary.electionRounds = m_electionLog.roundCount();
+    summary.changes = m_voterLog.changeCount();
+    return summary;
+}
+
 void ControlNode::onRoleChange()
 {
+    const auto& configuration = m_log.core().log().configuration();
     if (leader() != m_loggedLeader) {
         m_loggedLeader = leader();
         m_client.setLeader(leader() == m_options.address ? "" : leader());
         Event(leader().empty() ? "leader-lost" : "leader-found")
             .with("term", term())
             .with("leader", leader())
-            .with("voters", m_log.core().log().configuration().voters.size())
+            .with("voters", configuration.voters.size())
+            .with("voterNames", voterNames(configuration))
             .with("committed", m_log.core().commitIndex())
             .writeAlways();
     }
@@ -252,6 +274,8 @@
         m_startedTerm = term();
         Event("leading")
             .with("term", term())
+            .with("voters", configuration.voters.size())
+            .with("voterNames", voterNames(configuration))
             .with("openJobs", m_store.openJobs().size())
             .with("configuration", m_store.configuration().version)
             .writeAlways();
@@ -267,6 +291,7 @@
     m_tasks.add(m_timer.afterDelay(toKj(tickInterval)).then([this, due] {
         recordLag(due);
         m_log.tick(m_clock.now());
+        logVoters();
         scheduleRound();
         scheduleTick();
     }));
