Go on accepting connections after descriptors ran out

An accept() that fails, for example with EMFILE, ended the accept loop of the control port, of the HTTP ports and of the metrics port: the listening socket stayed open and nobody served it until the process was restarted. A shortage is possible when many callers reconnect at once after a fault. The peer port had a retry, but the listener tries a waiting connection immediately and then throws instead of returning a failed promise, so the second failure in a row ended that loop too.

The metrics port has no test of its own. The effect of TCP_USER_TIMEOUT needs a peer that doesn't acknowledge and can't be shown on loopback.

--- a/include/celeryline/base/SocketOptions.h
+++ b/include/celeryline/base/SocketOptions.h
@@ -12,6 +12,10 @@
 /// @param stream a TCP connection.
 void setSocketOptions(kj::AsyncIoStream& stream);
 
+/// Makes the kernel close a connection whose peer no longer acknowledges sent data.
+/// @param stream a TCP connection.
+void setUserTimeout(kj::AsyncIoStream& stream);
+
 /// TCP payload bytes of one connection.
 struct ByteCounters {
     std::uint64_t sent = 0;
--- a/include/celeryline/rpc/ControlServer.h
+++ b/include/celeryline/rpc/ControlServer.h
@@ -31,14 +31,16 @@
 /// Accepts connections from other processes and dispatches their RPCs to a handler. Must be destroyed before
 /// the handler.
 ///
-/// Example: `ControlServer server(network, "10.0.0.4:7060", handler);`
+/// Example: `ControlServer server(timer, network, "10.0.0.4:7060", handler);`
 class ControlServer final : private kj::TaskSet::ErrorHandler {
 public:
+    /// @param timer timer of the event loop.
     /// @param network network of the event loop.
     /// @param address "IP:port" to listen on.
     /// @param handler handles the RPCs.
     /// @throws Error of kind InvalidSettings if the address is in use.
-    ControlServer(kj::Network& network, const std::string& address, ControlHandler& handler);
+    ControlServer(
+        kj::Timer& timer, kj::Network& network, const std::string& address, ControlHandler& handler);
 
 private:
     void accept();
--- a/src/base/SocketOptions.cpp
+++ b/src/base/SocketOptions.cpp
@@ -15,11 +15,16 @@
 
 } // namespace
 
-void setSocketOptions(kj::AsyncIoStream& stream)
+void setUserTimeout(kj::AsyncIoStream& stream)
 {
     // Exceeds the deadline of any message, so that only connections whose owner is gone are closed by it.
     constexpr int userTimeoutMs = 5000;
     setOption(stream, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMs);
+}
+
+void setSocketOptions(kj::AsyncIoStream& stream)
+{
+    setUserTimeout(stream);
     setOption(stream, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(stream, IPPROTO_TCP, TCP_KEEPIDLE, 5);
     setOption(stream, IPPROTO_TCP, TCP_KEEPINTVL, 2);
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -29,7 +29,7 @@
     , m_links(timer, network)
     , m_client(m_links, {})
     , m_tasks(*this)
-    , m_server(network, m_options.address, *this)
+    , m_server(timer, network, m_options.address, *this)
 {
     m_client.addAddresses(m_options.seeds);
     for (const auto& voter : m_log.core().log().configuration().voters)
--- a/src/rpc/ControlServer.cpp
+++ b/src/rpc/ControlServer.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryline/base/Error.h"
 #include "celeryline/base/SocketOptions.h"
+#include "celeryline/rpc/Acceptor.h"
 #include "celeryline/rpc/ControlConversion.h"
 #include "celeryline/rpc/PackedStream.h"
 #include "celeryline/settings/Logging.h"
@@ -64,13 +65,15 @@
 
 } // namespace
 
-ControlServer::ControlServer(kj::Network& network, const std::string& address, ControlHandler& handler)
+ControlServer::ControlServer(
+    kj::Timer& timer, kj::Network& network, const std::string& address, ControlHandler& handler)
     : m_handler(handler)
     , m_tasks(*this)
 {
     try {
         Poco::Net::SocketAddress socketAddress(address);
-        m_listener = network.getSockaddr(socketAddress.addr(), socketAddress.length())->listen();
+        auto listener = network.getSockaddr(socketAddress.addr(), socketAddress.length())->listen();
+        m_listener = kj::heap<detail::Acceptor>(timer, kj::mv(listener), detail::setSocketOptions);
     } catch (const kj::Exception& e) {
         throw Error(ErrorKind::InvalidSettings,
             "can't listen on " + address + ": " + e.getDescription().cStr(),
@@ -92,7 +95,6 @@
 
 void ControlServer::serve(kj::Own<kj::AsyncIoStream>&& stream)
 {
-    detail::setSocketOptions(*stream);
     auto connection = kj::heap<Connection>(kj::mv(stream), m_handler);
     auto ended = connection->network.onDisconnect();
     // Deferred, because a connection must not be destroyed in a continuation of one of its own promises.
--- a/src/rpc/PeerServer.cpp
+++ b/src/rpc/PeerServer.cpp
@@ -2,6 +2,7 @@
 
 #include "celeryline/base/Error.h"
 #include "celeryline/base/SocketOptions.h"
+#include "celeryline/rpc/Acceptor.h"
 #include "celeryline/rpc/PackedStream.h"
 #include "celeryline/rpc/PeerService.h"
 #include "celeryline/rpc/RpcLoop.h"
@@ -78,7 +79,8 @@
     void listen()
     {
         Poco::Net::SocketAddress address(m_address);
-        m_listener = m_loop.network().getSockaddr(address.addr(), address.length())->listen();
+        auto listener = m_loop.network().getSockaddr(address.addr(), address.length())->listen();
+        m_listener = kj::heap<detail::Acceptor>(m_loop.timer(), kj::mv(listener), detail::setSocketOptions);
         m_port = static_cast<std::uint16_t>(m_listener->getPort());
         m_tasks = kj::heap<kj::TaskSet>(*this);
         accept();
@@ -86,16 +88,10 @@
 
     void accept()
     {
-        m_tasks->add(m_listener->accept().then(
-            [this](kj::Own<kj::AsyncIoStream>&& stream) {
-                serve(kj::mv(stream));
-                accept();
-            },
-            [this](kj::Exception&& e) {
-                LOG4CXX_WARN(logger("rpc"), "can't accept a connection: " << e.getDescription().cStr());
-                // Without a delay, the loop would spin while the process is out of file descriptors.
-                m_tasks->add(m_loop.timer().afterDelay(100 * kj::MILLISECONDS).then([this] { accept(); }));
-            }));
+        m_tasks->add(m_listener->accept().then([this](kj::Own<kj::AsyncIoStream>&& stream) {
+            serve(kj::mv(stream));
+            accept();
+        }));
     }
 
     void serve(kj::Own<kj::AsyncIoStream>&& stream)
@@ -104,7 +100,6 @@
             LOG4CXX_WARN(logger("rpc"), "rejected a connection: " << maxConnections << " are already open");
             return;
         }
-        detail::setSocketOptions(*stream);
         auto number = ++m_lastConnectionNumber;
         auto& connection = m_connections[number];
         connection.stream = kj::mv(stream);
--- a/test/LeaderSearchTest.cpp
+++ b/test/LeaderSearchTest.cpp
@@ -130,7 +130,7 @@
     requireRefusedImmediately(entry.send("GET"));
 
     auto leader = makeLeader(address);
-    ControlServer server(entry.network(), address, leader);
+    ControlServer server(entry.timer(), entry.network(), address, leader);
     REQUIRE(entry.runUntil([&] { return entry.search.hasLeader(); }) <= maxSearchTime);
     REQUIRE_FALSE(entry.client.isRefusing());
     REQUIRE(entry.send("POST").response.status == 200);
@@ -148,7 +148,7 @@
     entry.runFor(refuseAfter + Millis { 200 });
     requireRefusedImmediately(entry.send("POST"));
     auto leader = makeLeader(address);
-    ControlServer server(entry.network(), address, leader);
+    ControlServer server(entry.timer(), entry.network(), address, leader);
     REQUIRE(entry.runUntil([&] { return entry.search.hasLeader(); }) <= maxSearchTime);
 }
 
@@ -164,13 +164,13 @@
     follower.introduction.leader = unreachable;
     follower.response.outcome = ForwardOutcome::NotLeading;
     follower.response.leader = unreachable;
-    ControlServer server(entry.network(), address, follower);
+    ControlServer server(entry.timer(), entry.network(), address, follower);
     entry.runFor(refuseAfter + Millis { 200 });
     requireRefusedImmediately(entry.send("POST"));
     REQUIRE_FALSE(entry.search.hasLeader());
 
     auto leader = makeLeader(unreachable);
-    ControlServer second(entry.network(), unreachable, leader);
+    ControlServer second(entry.timer(), entry.network(), unreachable, leader);
     REQUIRE(entry.runUntil([&] { return entry.search.hasLeader(); }) <= maxSearchTime);
     REQUIRE(entry.send("POST").response.status == 200);
 }
@@ -184,7 +184,7 @@
     auto control = makeLeader(address);
     control.introduction.leader = "";
     control.response.outcome = ForwardOutcome::Unknown;
-    ControlServer server(entry.network(), address, control);
+    ControlServer server(entry.timer(), entry.network(), address, control);
     auto timed = entry.send("POST");
     REQUIRE(timed.response.outcome == ForwardOutcome::Unknown);
     REQUIRE(timed.latency > forwardTimeout);
@@ -200,7 +200,7 @@
     const auto& address = reserved.text();
     EntryFixture entry({ address });
     auto leader = makeLeader(address);
-    auto server = std::make_unique<ControlServer>(entry.network(), address, leader);
+    auto server = std::make_unique<ControlServer>(entry.timer(), entry.network(), address, leader);
     entry.runFor(refuseAfter + refuseAfter + refuseAfter);
     REQUIRE(entry.search.hasLeader());
     REQUIRE_FALSE(entry.client.isRefusing());
--- a/test/RpcTransportTest.cpp
+++ b/test/RpcTransportTest.cpp
@@ -3,6 +3,9 @@
 #include "celeryline/base/Error.h"
 #include "celeryline/rpc/PeerServer.h"
 
+#include "DescriptorLimit.h"
+#include "RawConnection.h"
+
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -19,6 +22,8 @@
 
 using namespace celeryline;
 using Catch::Matchers::Contains;
+using celeryline::test::DescriptorLimit;
+using celeryline::test::RawClient;
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
@@ -377,6 +382,23 @@
     }
 }
 
+// Guards against a process that never accepts a connection again after it was out of descriptors for a
+// moment.
+TEST_CASE("The peer port accepts connections again after descriptors ran out", "[rpc]")
+{
+    constexpr milliseconds shortage { 300 };
+    Fixture f;
+    RpcTransport transport(optionsFor(f.server.port()));
+    RawClient waiting(loopbackAddress(f.server.port())); // Needs its descriptor before the shortage.
+    {
+        const DescriptorLimit none(0);
+        waiting.connect();
+        std::this_thread::sleep_for(shortage);
+    }
+    std::this_thread::sleep_for(shortage);
+    CHECK(transport.fullCopy("b", { 2000 }).firstSequence == 5);
+}
+
 TEST_CASE("Heartbeats of an idle pair stay far below the bandwidth limit", "[rpc]")
 {
     Fixture f;
