--- a/test/ControlLinkTest.cpp
+++ b/test/ControlLinkTest.cpp
@@ -285,3 +285,20 @@
         CHECK_FALSE(f.link.introduce({}, introductionTimeout).wait(f.io.waitScope).hasResult);
     }
 }
+
+// Guards against an exception out of the link, which would end a process that has heard of such an address.
+TEST_CASE("An address that can't be parsed is a peer that can't be reached", "[rpc]")
+{
+    LinkFixture f;
+    for (const auto* address : { "", ":", "not an address", "127.0.0.1", "127.0.0.1:", "127.0.0.1:99999",
+             "127.0.0.1:7060x", "1.2.3.4.5:6", "[::", "host.invalid:7060" }) {
+        INFO(address);
+        ControlLink link(f.timer(), f.network(), address);
+        link.sendRaft(raftMessage(1));
+        const auto begin = f.now();
+        auto call = link.introduce({}, introductionTimeout).wait(f.io.waitScope);
+        CHECK_FALSE(call.hasResult);
+        CHECK(call.failure == CallFailure::NotSent);
+        CHECK(f.now() - begin <= margin); // A lookup of a name would block the event loop.
+    }
+}
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -93,3 +93,30 @@
     SingleNode restarted(io, files, address, false);
     REQUIRE(restarted.waitFor([&] { return restarted.node().store().jobCount() == jobs; }));
 }
+
+// Guards against a control process that ends because an introduction named an address that can't be parsed.
+TEST_CASE("An introduction with malformed addresses doesn't end a control process", "[control]")
+{
+    constexpr Millis introductionTimeout { 1000 };
+    constexpr kj::Duration longerThanIntroductionInterval = 2500 * kj::MILLISECONDS;
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    auto& timer = io.provider->getTimer();
+    const ReservedAddress reserved;
+    SingleNode single(io, files, reserved.text(), true);
+    bool hasFailed = false;
+    auto failure = single.node()
+                       .untilFailed()
+                       .catch_([&](kj::Exception&&) { hasFailed = true; })
+                       .eagerlyEvaluate(nullptr);
+    REQUIRE(single.waitFor([&] { return single.node().isLeading(); }));
+    Introduction malformed;
+    malformed.address = "not an address";
+    malformed.storageId = "storage";
+    malformed.members = { "", "127.0.0.1:99999", "host.invalid:7060" };
+    ControlLinks links(timer, io.provider->getNetwork());
+    REQUIRE(links.to(reserved.text()).introduce(malformed, introductionTimeout).wait(io.waitScope).hasResult);
+    timer.afterDelay(longerThanIntroductionInterval).wait(io.waitScope);
+    CHECK_FALSE(hasFailed);
+    CHECK(single.node().isLeading());
+}
