Fail when a test filter matches no test

A comma in the name given to the test binary separates two filters, so a command such as celeryline-test "A large answer is streamed, and its truncation is noticed" ran no test and still succeeded. Two entries of KNOWN-RED.txt named such commands, and their series of runs alone found no failure.

--- a/test/main.cpp
+++ b/test/main.cpp
@@ -29,5 +29,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     // A fixed seed makes runs reproducible; set RC_PARAMS to use another one.
     setenv("RC_PARAMS", "seed=20261204", 0);
-    return Catch::Session().run(argc, argv);
+    Catch::Session session;
+    // A name that matches no test fails. An unescaped comma in a name separates two filters.
+    session.configData().warnings = Catch::WarnAbout::NoTests;
+    return session.run(argc, argv);
 }
