Test that malformed bytes never end a process

The RPC port of a control process and the HTTP ports are reachable by anything in the network of the fleet.

--- a/test/platform/HttpListenerTest.cpp
+++ b/test/platform/HttpListenerTest.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <random>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
 namespace {
 
 const std::string get = "GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+const std::string post = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTimeout-Ms: 500\r\n\r\nbody";
+const std::string chunked
+    = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
 
 /// A listener on the test's event loop that answers each request with 200.
 struct ListenerFixture {
@@ -39,6 +43,57 @@
 
 } // namespace
 
+// Guards against bytes that end the process or keep it from serving other callers.
+TEST_CASE("Malformed bytes on an HTTP port close only their own connection", "[platform][random]")
+{
+    constexpr int randomInputs = 300;
+    constexpr std::size_t maxRandomSize = 300;
+    ListenerFixture f;
+    std::mt19937_64 random(20261205);
+    const std::string head = "POST /x HTTP/1.1\r\nHost: h\r\n";
+    std::vector<std::string> inputs { "\r\n\r\n", "GET\r\n\r\n", "GET /x HTTP/9.9\r\n\r\n",
+        std::string(1000, '\0'), std::string(200000, 'x'),
+        "GET /" + std::string(100000, 'y') + " HTTP/1.1\r\n\r\n", head + "Content-Length: -1\r\n\r\n",
+        head + "Content-Length: 99999999999999999999\r\n\r\nx",
+        head + "Content-Length: 18446744073709551615\r\n\r\nx", head + "Content-Length: 4, 5\r\n\r\nbody",
+        head + "Content-Length: 1073741824\r\n\r\nx", head + "Content-Length: 4\r\n\r\nbo",
+        head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\nx",
+        head + "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+        head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbodybody",
+        head + "Transfer-Encoding: gzip\r\n\r\nbody",
+        head + "Upgrade: websocket\r\nConnection: Upgrade\r\n\r\n",
+        head + "Timeout-Ms: 99999999999999999999\r\nContent-Length: 0\r\n\r\n",
+        head + std::string("X: a\0b\r\n\r\n", 10) };
+    for (int i = 0; i < randomInputs; ++i) {
+        std::string bytes(1 + random() % maxRandomSize, '\0');
+        for (auto& byte : bytes)
+            byte = static_cast<char>(random());
+        inputs.push_back(i % 2 == 0 ? bytes : head + bytes + "\r\n\r\n");
+    }
+    REQUIRE(f.canCall());
+    for (const auto& input : inputs) {
+        INFO(Catch::StringMaker<std::string>::convert(input.substr(0, 400)));
+        exchangeRaw(f.io, f.address.text(), input);
+        REQUIRE(f.canCall());
+    }
+}
+
+// Guards against a valid request of which a few bytes were damaged: it gets further than random bytes.
+TEST_CASE("A damaged request on an HTTP port never ends the process", "[platform][random]")
+{
+    constexpr int damagedRequests = 400;
+    ListenerFixture f;
+    std::mt19937_64 random(20261205);
+    const std::vector<std::string> requests { get, post, chunked, post + chunked + get };
+    for (int i = 0; i < damagedRequests; ++i) {
+        auto damaged = requests[random() % requests.size()];
+        for (auto changes = 1 + random() % 3; changes > 0; --changes)
+            damaged[random() % damaged.size()] = static_cast<char>(random());
+        exchangeRaw(f.io, f.address.text(), damaged);
+        REQUIRE(f.canCall());
+    }
+}
+
 // Guards against connections that stay open for good because their caller lost power while it was sending.
 TEST_CASE("A request that isn't received completely is given up", "[platform]")
 {
