Wait until the scripted runner has closed a connection

"An idle connection that the runner closed is replaced without an error" gave the runner 20 ms to close the connection. If its thread is delayed for longer, the next request is sent on a connection that is closed unread, and its outcome is rightly unknown. With a pause of 40 ms before the close the test failed (lines 61, 62 and 65); bound to one core beside 20 busy loops it failed in 1 of 16 runs. The runner now counts the connections that it has closed, and the test waits for the count: with the pause it passes, and 0 of 60 runs fail beside the busy loops. No check is changed.

"If a streamed response is truncated, the connection to the caller is closed" read isCut twice as the test of the pool did. It didn't fail with a pause between the reads (5 of 5 runs passed), because a GET is tried again; it reads it once now, so that its second part tests what its name says.

--- a/test/CallHandlerTest.cpp
+++ b/test/CallHandlerTest.cpp
@@ -119,9 +119,10 @@
     const std::string body(300000, 'x');
     std::atomic<bool> isCut { false };
     ScriptedRunner runner([&](StreamSocket& socket, const std::string&) {
+        const bool cutsThis = isCut; // The test may set isCut while the script is still running.
         ScriptedRunner::send(
-            socket, ScriptedRunner::response(body).substr(0, isCut ? 200000 : std::string::npos));
-        return !isCut;
+            socket, ScriptedRunner::response(body).substr(0, cutsThis ? 200000 : std::string::npos));
+        return !cutsThis;
     });
     FakeFleet fleet;
     fleet.addRunner("r1", runner.address());
--- a/test/ScriptedRunner.h
+++ b/test/ScriptedRunner.h
@@ -61,6 +61,10 @@
     bool receivedBytes() const { return m_receivedBytes; }
 
     int connections() const { return m_connections; }
+
+    /// @return how many connections the runner has closed. A client sees an end of stream on each of them.
+    int closedConnections() const { return m_closedConnections; }
+
     int maxConcurrent() const { return m_maxConcurrent; }
 
     static void send(Poco::Net::StreamSocket& socket, const std::string& bytes)
@@ -130,6 +134,7 @@
             }
         }
         socket.close();
+        ++m_closedConnections;
     }
 
     bool readRequest(Poco::Net::StreamSocket& socket, std::string& request)
@@ -164,6 +169,7 @@
     std::atomic<bool> m_isStopping { false };
     std::atomic<bool> m_receivedBytes { false };
     std::atomic<int> m_connections { 0 };
+    std::atomic<int> m_closedConnections { 0 };
     std::atomic<int> m_inProgress { 0 };
     std::atomic<int> m_maxConcurrent { 0 };
     mutable std::mutex m_mutex;
--- a/test/UpstreamPoolTest.cpp
+++ b/test/UpstreamPoolTest.cpp
@@ -50,6 +50,7 @@
 
 TEST_CASE("An idle connection that the runner closed is replaced without an error", "[calls][pool]")
 {
+    constexpr int maxWaitMillis = 5000;
     ScriptedRunner runner([](StreamSocket& socket, const std::string& request) {
         ScriptedRunner::echo(socket, request);
         return false;
@@ -59,7 +60,9 @@
         const auto result = fixture.send(runner.address(), std::to_string(i));
         CHECK(result.delivery == Delivery::Completed);
         CHECK(result.response.body == std::to_string(i));
-        pause(20);
+        for (int waited = 0; runner.closedConnections() <= i && waited < maxWaitMillis; ++waited) {
+            pause(1);
+        }
     }
     CHECK(runner.requests().size() == 5);
 }
