Count a machine as gone only by lists that lack it

The operator would see a wave as completed although a machine that stays has not begun its upkeep (rule MIXED of the users). A new leader takes over an upkeep that was begun. While the provider was silent it had no list at all, took every machine as missing, and after 15 s noted the upkeep as done. In the same way the provider's silence after one list without the machine counted as absence. The time now runs between lists: from the first one without the machine to the newest one.

Before: two new tests of MachineMaster fail, the wave is done within 20 s of the provider's silence. After: it stays open, and the upkeep is ordered within 2 s of the provider's return.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -145,7 +146,10 @@
     std::map<std::string, Machine> m_machines;
     std::set<MachineKind> m_kinds; ///< Kinds of all machines listed in this term.
     std::map<std::string, Operation> m_operations; ///< By machine.
-    /// Machines with an operation or in a wave that the provider doesn't list.
+    std::optional<Millis>
+        m_listedAt; ///< Steady time of the last list of this term; nothing before the first.
+    /// Machines with an operation or in a wave that the provider doesn't list: time of the first list without
+    /// them.
     std::map<std::string, Millis> m_absentSince;
     ArrivalRate m_arrivalRate;
     /// Machines whose move was refused aren't moved until then.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -71,6 +71,7 @@
     m_machines.clear();
     m_kinds.clear();
     m_operations.clear();
+    m_listedAt.reset();
     m_absentSince.clear();
     m_refusedUntil.clear();
     m_pausedUntil.clear();
@@ -194,6 +195,7 @@
         known[info.machine] = std::move(machine);
     }
     m_machines = std::move(known);
+    m_listedAt = m_clock().steady;
     for (const auto& info : machines) {
         m_absentSince.erase(info.machine);
         m_kinds.insert({ info.capacity, info.labels });
--- a/src/machines/MachineMasterWaves.cpp
+++ b/src/machines/MachineMasterWaves.cpp
@@ -72,11 +72,13 @@
 
 bool MachineMaster::checkAbsence(std::uint64_t wave, const std::string& machine)
 {
-    auto now = m_clock().steady;
-    auto since = m_absentSince.emplace(machine, now).first->second;
-    if (now < since + absenceTimeout)
+    // Only a list shows that a machine is missing.
+    if (!m_listedAt)
         return false;
-    m_absentSince[machine] = now;
+    auto& since = m_absentSince.emplace(machine, *m_listedAt).first->second;
+    if (*m_listedAt < since + absenceTimeout)
+        return false;
+    since = *m_listedAt;
     Event("machine-gone")
         .with("machine", machine)
         .with("wave", wave)
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
 
 using namespace celeryline;
 using namespace celeryline::test;
@@ -24,6 +26,8 @@
 
     void list(ListCallback done) override
     {
+        if (dropsLists)
+            return;
         if (isUnavailable) {
             done(std::nullopt);
         } else {
@@ -53,12 +57,13 @@
 
     std::vector<MachineInfo> machines;
     std::vector<Order> orders;
-    bool isUnavailable = false; ///< It answers no list call.
+    bool isUnavailable = false; ///< List calls fail.
+    bool dropsLists = false; ///< List calls never end.
 };
 
 struct MachineFixture : JobMasterFixture {
-    MachineFixture()
-        : machines(options(), master, store, log, provider, [this] { return moment; })
+    explicit MachineFixture(const MachineMasterOptions& options = defaultOptions())
+        : machines(options, master, store, log, provider, [this] { return moment; })
     {
         auto configuration = makeConfiguration(2);
         auto queue = configuration.queues.front();
@@ -70,7 +75,7 @@
         machines.startTerm();
     }
 
-    static MachineMasterOptions options()
+    static MachineMasterOptions defaultOptions()
     {
         MachineMasterOptions made;
         made.holder = "holder";
@@ -106,6 +111,15 @@
         machines.onCommitted(note);
     }
 
+    /// Starts a wave of which an earlier leader has begun a machine.
+    void applyBegunUpkeep(const std::vector<std::string>& wave, const std::string& begun)
+    {
+        store.apply(StartWave { 5, wave, { 60000 }, 1, moment.wall }, {});
+        NoteUpkeep note { 5, begun, false, { "earlier", 6, { 500 } } };
+        store.apply(note, {});
+        machines.onCommitted(note);
+    }
+
     /// Advances the time while an idle runner reports, until it gets a start.
     /// @return the starts.
     std::vector<StartOrder> advanceUntilStart(const std::string& runner, std::int64_t milliseconds)
@@ -340,6 +354,37 @@
     REQUIRE(fixture.store.waves().at(5).done.count("gone") == 1);
 }
 
+// Only a list shows that a machine is missing. A new leader without any list counted the machine of a begun
+// upkeep as gone, and its wave was complete before the upkeep had begun (rule MIXED).
+TEST_CASE("A machine doesn't count as gone while the provider is silent", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.applyBegunUpkeep({ "m" }, "m");
+    fixture.provider.isUnavailable = true;
+    fixture.machines.startTerm();
+    fixture.advanceTime(20000);
+    REQUIRE(fixture.store.waves().at(5).done.empty());
+    fixture.provider.isUnavailable = false;
+    fixture.advanceTime(2000);
+    REQUIRE(fixture.isOrdered("m"));
+}
+
+// The silence of the provider adds nothing to the time for which a machine was missing before.
+TEST_CASE("The provider's silence doesn't count as absence of a machine", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.advanceTime(4000);
+    fixture.applyBegunUpkeep({ "m" }, "m");
+    fixture.machines.startTerm();
+    fixture.provider.machines.clear();
+    fixture.advanceTime(2000);
+    fixture.provider.isUnavailable = true;
+    fixture.advanceTime(20000);
+    REQUIRE(fixture.store.waves().at(5).done.empty());
+}
+
 // A refused order must not be repeated with each plan, five times a second.
 TEST_CASE("A move that was refused is not tried again at once", "[machines]")
 {
