Count machines as down for the whole upkeep after a change of leader

A new leader counted a machine that its predecessor had taken down as up again after the wait for orders of another holder (3.5 s, on the platform lease_ms and 1.5 s). That says nothing of how long an upkeep takes: where it takes longer, one more machine of the wave than allowed was taken down (rule LIMIT). It now counts until a call, the upkeep and the first report of the new runner have had their time, if that is longer.

Before: with an upkeep of 10 s and one machine at once, the new test saw the second order within 11.5 s of the first. After: none in 11.5 s, the order a second later.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -26,6 +26,7 @@
     Millis orderTimeout { 1500 };
     Millis moveDuration { 1500 }; ///< From the order of a move until the new runner is up.
     Millis upkeepDuration { 2000 }; ///< From the order of an upkeep until the new runner is up.
+    Millis firstReportMargin { 300 }; ///< Time for the first report of the new runner.
     Millis listInterval { 1000 };
     /// The provider counts as unavailable after this time without an answer; machines then keep their tasks.
     Millis providerTimeout { 3000 };
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -146,8 +146,11 @@
             = order.holder == m_options.holder ? m_options.orderTimeout : m_options.takeoverDelay;
         if (now < givenBefore + blockedTime)
             m_orderBlockedUntil[machine] = givenBefore + blockedTime;
-        if (now < givenBefore + m_options.takeoverDelay)
-            m_maybeDownUntil[machine] = givenBefore + m_options.takeoverDelay;
+        // The order may have arrived as late as a call may take.
+        auto downTime = std::max(m_options.takeoverDelay,
+            m_options.orderTimeout + m_options.upkeepDuration + m_options.firstReportMargin);
+        if (now < givenBefore + downTime)
+            m_maybeDownUntil[machine] = givenBefore + downTime;
     }
 }
 
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -26,8 +26,6 @@
 constexpr Millis busyBackoff { 1000 };
 /// Minimum time between pausing two machines in waves.
 constexpr Millis minPauseInterval { 500 };
-/// Time for the first report of the new runner.
-constexpr Millis firstReportMargin { 300 };
 
 const char* outcomeName(MachineOutcome outcome)
 {
@@ -84,7 +82,7 @@
         proposeOrder(machine);
     } else if (operation.stage == Stage::Down) {
         auto needed = operation.wave != 0 ? m_options.upkeepDuration : m_options.moveDuration;
-        if (now >= operation.since + needed + firstReportMargin) {
+        if (now >= operation.since + needed + m_options.firstReportMargin) {
             m_operations.erase(machine);
             updateReservedRunners();
         }
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -326,6 +326,24 @@
     REQUIRE(fixture.provider.orders[0].machine == "m2");
 }
 
+// The same for an upkeep that takes longer than the wait for the earlier leader's orders (rule LIMIT).
+TEST_CASE("Machines that the earlier leader took down count as down for a long upkeep", "[machines]")
+{
+    auto options = MachineFixture::defaultOptions();
+    options.upkeepDuration = { 10000 };
+    MachineFixture fixture(options);
+    fixture.addMachine("m1", "pool", "r1");
+    fixture.addMachine("m2", "pool", "r2");
+    fixture.advanceTime(10000);
+    fixture.applyBegunUpkeep({ "m1", "m2" }, "m1");
+    fixture.store.apply(NoteUpkeep { 5, "m1", true, {} }, {});
+    fixture.machines.startTerm();
+    fixture.advanceTime(11500); // The order may have arrived 1.5 s after it was given.
+    REQUIRE(fixture.provider.orders.empty());
+    fixture.advanceTime(1000);
+    REQUIRE(fixture.isOrdered("m2"));
+}
+
 // A new leader must not lose an upkeep that its predecessor may have ordered.
 TEST_CASE("A new leader repeats an upkeep that was begun", "[machines]")
 {
