List the machines again when a list call gets no answer

While a list call was pending no other one was sent, with no limit of its own: a call whose callback never came, for example because its response handler failed, ended all listing, and so moves and upkeep, until the next change of leader. A call that has no answer after 30 s is now repeated. The client's own limit is 1.2 s a page, so only a call that is lost takes that long, or one for many pages of a slow provider: its list is still used, unless a newer one has come.

After: there is one 30 s after the call, and a list that comes after its call was repeated counts.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -28,6 +28,9 @@
     Millis upkeepDuration { 2000 }; ///< From the order of an upkeep until the new runner is up.
     Millis firstReportMargin { 300 }; ///< Time for the first report of the new runner.
     Millis listInterval { 1000 };
+    /// A list call without an answer is repeated after this time. Longer than a slow provider takes for all
+    /// pages of a large fleet.
+    Millis listTimeout { 30000 };
     /// The provider counts as unavailable after this time without an answer; machines then keep their tasks.
     Millis providerTimeout { 3000 };
     Millis planInterval { 200 };
@@ -144,6 +147,9 @@
     Millis m_nextPlanAt;
     Millis m_nextBalanceLogAt;
     bool m_isListing = false;
+    Millis m_listRequestedAt;
+    std::uint64_t m_listRequests = 0; ///< Number of list calls so far.
+    std::uint64_t m_newestList = 0; ///< Number of the newest list call that gave a list.
     std::map<std::string, Machine> m_machines;
     std::set<MachineKind> m_kinds; ///< Kinds of all machines listed in this term.
     std::map<std::string, Operation> m_operations; ///< By machine.
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -90,7 +90,8 @@
     if (!m_log.isLeading() || m_term != m_log.term())
         return;
     auto now = m_clock().steady;
-    if (now >= m_nextListAt && !m_isListing)
+    bool isOverdue = now >= m_listRequestedAt + m_options.listTimeout;
+    if (now >= m_nextListAt && (!m_isListing || isOverdue))
         requestList();
     if (now >= m_nextPlanAt) {
         m_nextPlanAt = now + m_options.planInterval;
@@ -169,14 +170,19 @@
 void MachineMaster::requestList()
 {
     m_isListing = true;
-    m_nextListAt = m_clock().steady + m_options.listInterval;
-    m_provider.list([this, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
-        m_isListing = false;
-        if (!machines || term != m_log.term())
-            return;
-        onProviderAnswer();
-        updateMachines(*machines);
-    });
+    m_listRequestedAt = m_clock().steady;
+    m_nextListAt = m_listRequestedAt + m_options.listInterval;
+    m_provider.list(
+        [this, request = ++m_listRequests, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
+            if (request == m_listRequests)
+                m_isListing = false;
+            // A call that was repeated may still be the first one to end.
+            if (!machines || term != m_log.term() || request < m_newestList)
+                return;
+            m_newestList = request;
+            onProviderAnswer();
+            updateMachines(*machines);
+        });
 }
 
 void MachineMaster::updateMachines(const std::vector<MachineInfo>& machines)
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -26,9 +26,9 @@
 
     void list(ListCallback done) override
     {
-        if (dropsLists)
-            return;
-        if (isUnavailable) {
+        if (holdsLists) {
+            heldLists.push_back(std::move(done));
+        } else if (isUnavailable) {
             done(std::nullopt);
         } else {
             done(machines);
@@ -58,7 +58,8 @@
     std::vector<MachineInfo> machines;
     std::vector<Order> orders;
     bool isUnavailable = false; ///< List calls fail.
-    bool dropsLists = false; ///< List calls never end.
+    bool holdsLists = false; ///< List calls don't end.
+    std::vector<ListCallback> heldLists;
 };
 
 struct MachineFixture : JobMasterFixture {
@@ -403,6 +404,30 @@
     REQUIRE(fixture.store.waves().at(5).done.empty());
 }
 
+// A list call that is never answered must not be the last one.
+TEST_CASE("Machines are listed again when a list call gets no answer", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.provider.holdsLists = true;
+    fixture.advanceTime(2000);
+    fixture.provider.holdsLists = false;
+    fixture.advanceTime(30000);
+    REQUIRE_FALSE(fixture.machines.couldEverFit(makeJob("large", { makeStep(1, 5000, 1000) })));
+}
+
+// A provider that needs longer for each list than a call waits must not go without any list.
+TEST_CASE("A list that comes after its call was repeated is used", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.provider.holdsLists = true;
+    fixture.advanceTime(32000);
+    REQUIRE(fixture.provider.heldLists.size() == 2);
+    fixture.provider.heldLists.front()(fixture.provider.machines);
+    REQUIRE_FALSE(fixture.machines.couldEverFit(makeJob("large", { makeStep(1, 5000, 1000) })));
+}
+
 // A refused order must not be repeated with each plan, five times a second.
 TEST_CASE("A move that was refused is not tried again at once", "[machines]")
 {
