Treat a malformed address like an unreachable process

An introduction with an address that can't be parsed ended the control process: the connection attempt threw in the task that schedules introductions and rounds, whose failure ends the process, and the address was passed on to the other members. The address is now parsed within the attempt, which fails and is repeated like that to an unreachable process.

Before: the new test (an introduction with "no port", "", "10.0.0.1", "10.0.0.1:port" and ":") saw the process fail within 3 s. After: it goes on and commits.

--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -77,10 +77,11 @@
 
 void ControlLink::startConnecting()
 {
-    Poco::Net::SocketAddress socketAddress(m_address);
-    auto address = m_network.getSockaddr(socketAddress.addr(), socketAddress.length());
     auto retryDelay = m_timer.atTime(kj::max(m_retryAt, m_timer.now()));
-    auto stream = retryDelay.then([this, address = kj::mv(address)]() mutable {
+    // Addresses come from other processes; one that can't be parsed fails like an unreachable one.
+    auto stream = retryDelay.then([this] {
+        Poco::Net::SocketAddress socketAddress(m_address);
+        auto address = m_network.getSockaddr(socketAddress.addr(), socketAddress.length());
         return m_timer.timeoutAfter(connectTimeout, address->connect()).attach(kj::mv(address));
     });
     m_connecting = stream
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -98,3 +98,30 @@
     SingleNode restarted(io, files, address, false);
     REQUIRE(restarted.waitFor([&] { return restarted.node().store().jobCount() == jobs; }));
 }
+
+// Guards against an introduction that ends the process: an address that couldn't be parsed made the
+// connection attempt throw, in the task that schedules all later introductions.
+TEST_CASE("A malformed address in an introduction is like an unreachable process", "[control]")
+{
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    auto address = freeAddress();
+    SingleNode single(io, files, address, true);
+    REQUIRE(single.waitFor([&] { return single.node().isLeading(); }));
+    ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
+    Introduction malformed;
+    malformed.address = "no port";
+    malformed.storageId = "0011223344556677";
+    malformed.members = { "", "10.0.0.1", "10.0.0.1:port", ":" };
+    bool hasFailed = false;
+    auto failed = single.node().untilFailed().catch_([&](kj::Exception&&) { hasFailed = true; });
+    auto watch = failed.eagerlyEvaluate(nullptr);
+    links.to(address).introduce(malformed, { 1000 }).wait(io.waitScope);
+    // Introductions are sent every two seconds.
+    io.provider->getTimer().afterDelay(3 * kj::SECONDS).wait(io.waitScope);
+    REQUIRE_FALSE(hasFailed);
+    bool isCommitted = false;
+    single.node().master().request(SubmitJob { makeJob("after", { makeStep(1) }), {} },
+        [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
+    REQUIRE(single.waitFor([&] { return isCommitted; }));
+}
