Answer "unknown" for a request that this process may have committed

The operator would get 503, "not carried out", for a change that may still be committed. A control process that loses its term while it commits passes the request on to the next leader; when it found none in time, the outcome was that of the forwarding alone: not sent. It now begins with what is known of its own attempt, so the answer is 502.

--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -80,9 +80,11 @@
     /// @param timeout total time for all attempts, while none may have been executed.
     /// @param timeoutOnceSent total time for all attempts, once one may have been executed: the next leader
     /// can still report its outcome.
+    /// @param mayHaveRun whether an attempt of this process itself may have executed the request.
     /// @return the leader's response; without one, an outcome that says whether the request may have been
     /// executed.
-    kj::Promise<ForwardedResponse> forward(ForwardedRequest request, Millis timeout, Millis timeoutOnceSent);
+    kj::Promise<ForwardedResponse> forward(
+        ForwardedRequest request, Millis timeout, Millis timeoutOnceSent, bool mayHaveRun = false);
 
 private:
     struct PendingRequest {
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -69,7 +69,8 @@
         if (response.outcome == ForwardOutcome::Answered)
             return kj::mv(response);
         // All requests are idempotent, so this one can be sent to the next leader.
-        return m_client.forward(std::move(request), timeout, timeout);
+        bool mayHaveRun = response.outcome == ForwardOutcome::Unknown;
+        return m_client.forward(std::move(request), timeout, timeout, mayHaveRun);
     });
 }
 
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -54,10 +54,11 @@
 }
 
 kj::Promise<ForwardedResponse> LeaderClient::forward(
-    ForwardedRequest request, Millis timeout, Millis timeoutOnceSent)
+    ForwardedRequest request, Millis timeout, Millis timeoutOnceSent, bool mayHaveRun)
 {
     auto pending = std::make_shared<PendingRequest>();
     pending->request = std::move(request);
+    pending->mayHaveRun = mayHaveRun;
     auto now = m_links.timer().now();
     pending->deadline = now + timeout.count * kj::MILLISECONDS;
     pending->deadlineOnceSent = now + std::max(timeout, timeoutOnceSent).count * kj::MILLISECONDS;
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -125,3 +125,55 @@
         [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
     REQUIRE(single.waitFor([&] { return isCommitted; }));
 }
+
+namespace {
+
+/// Commits a job, on a disk that has just become full.
+class FailingHandler final : public RequestHandler {
+public:
+    FailingHandler(ControlNode& node, MemoryFileSystem& files)
+        : m_node(node)
+        , m_files(files)
+    {
+    }
+
+    kj::Promise<ForwardedResponse> handle(const ForwardedRequest&) override
+    {
+        m_files.setFreeBytes(0);
+        auto paf = kj::newPromiseAndFulfiller<bool>();
+        auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<bool>>>(kj::mv(paf.fulfiller));
+        SubmitJob command { makeJob("job", { makeStep(1) }), {} };
+        m_node.master().request(std::move(command), [fulfiller](RequestOutcome outcome) {
+            (*fulfiller)->fulfill(outcome == RequestOutcome::Unknown);
+        });
+        return paf.promise.then([](bool isUnknown) {
+            ForwardedResponse response;
+            response.outcome = isUnknown ? ForwardOutcome::Unknown : ForwardOutcome::Answered;
+            return response;
+        });
+    }
+
+private:
+    ControlNode& m_node;
+    MemoryFileSystem& m_files;
+};
+
+} // namespace
+
+// Guards against a caller that is told that its request was not carried out, although the entry may still be
+// committed: the leader lost its term while it committed, and found no other one.
+TEST_CASE("A request that was proposed and found no other leader has an unknown outcome", "[control]")
+{
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    SingleNode single(io, files, freeAddress(), true);
+    REQUIRE(single.waitFor([&] { return single.node().isLeading(); }));
+    FailingHandler handler(single.node(), files);
+    single.node().setHandler(handler);
+    ForwardedRequest request;
+    request.method = "PUT";
+    auto outcome = ForwardOutcome::Answered;
+    auto answered = single.node().request(std::move(request), { 400 });
+    answered.then([&](ForwardedResponse&& response) { outcome = response.outcome; }).wait(io.waitScope);
+    REQUIRE(outcome == ForwardOutcome::Unknown);
+}
