Start no tasks on a runner that has left because of a late report

A report that a runner had sent before it left, and that arrived afterwards, made the runner a candidate again until it was silent for 1.5 s; tasks that were placed there waited for the end of its lease. For 5 s after it has left, a runner now gets no new task. Its lease is still renewed and the exclusion ends, since the message that it left may itself be late and be about an earlier incarnation.

Before: the new test of JobMaster saw a start committed on the runner that had left. After: none, and after 5 s of reports one. A leader that begins after the message doesn't know that the runner has left; that is as before.

--- a/include/celeryline/jobs/RunnerTable.h
+++ b/include/celeryline/jobs/RunnerTable.h
@@ -18,7 +18,8 @@
     /// Steady time by which all its runs have certainly stopped, unless it reports before.
     Millis leaseExpiry;
     std::uint64_t acknowledgedEnds = 0;
-    bool hasLeft = false;
+    bool hasLeft = false; ///< It has shut down, or its machine was taken down.
+    Millis leftAt; ///< Steady time of that; only valid if hasLeft.
     std::map<RunName, RunProgress> progress; ///< Progress of the runs in the most recent report.
     std::int64_t bestEffortRate = 100; ///< Rate limit of its best-effort tasks, in percent.
 };
--- a/src/jobs/JobMasterSilence.cpp
+++ b/src/jobs/JobMasterSilence.cpp
@@ -36,7 +36,7 @@
 {
     const auto* state = m_runners.find(incarnation);
     auto isHeard = state != nullptr
-        ? !state->hasLeft && !isSilent(*state)
+        ? !isSilent(*state) && (!state->hasLeft || state->lastReportAt > state->leftAt)
         : m_clock().steady < m_runners.resetAt() + m_options.firstReportTimeout + m_lag;
     if (isHeard || leaseLeft <= Millis {})
         return false;
--- a/src/jobs/RunnerTable.cpp
+++ b/src/jobs/RunnerTable.cpp
@@ -12,6 +12,8 @@
 constexpr Millis leaseSafetyMargin { 100 };
 /// Time after which a runner that announced its shutdown has certainly stopped its runs.
 constexpr Millis departureGrace { 1000 };
+/// Reports that a runner sent before it left arrive within this time.
+constexpr Millis maxReportDelay { 5000 };
 /// Time without a report after which a runner is removed; ids are rarely reused.
 constexpr Millis silentRunnerRetention { 60000 };
 
@@ -59,7 +61,8 @@
     state.lease = lease;
     // A shorter lease doesn't revoke a longer one granted before.
     state.leaseExpiry = std::max(state.leaseExpiry, now + worstCaseDuration(lease));
-    state.hasLeft = false;
+    if (now >= state.leftAt + maxReportDelay)
+        state.hasLeft = false;
     return &state;
 }
 
@@ -69,6 +72,7 @@
     if (found == m_runners.end())
         return;
     found->second.hasLeft = true;
+    found->second.leftAt = now;
     found->second.leaseExpiry = std::min(found->second.leaseExpiry, now + departureGrace);
 }
 
--- a/test/JobMasterSilenceTest.cpp
+++ b/test/JobMasterSilenceTest.cpp
@@ -85,3 +85,21 @@
     kit.report(makeReport("here", 1));
     REQUIRE(kit.store.allocations().begin()->first.runner == "here");
 }
+
+// Guards against a task that is placed on a runner that has left, because a report from before that arrives
+// late.
+TEST_CASE("A late report of a runner that has left brings no tasks to it", "[master]")
+{
+    JobMasterFixture kit;
+    kit.report(makeReport("left", 1));
+    kit.master.leave("left");
+    kit.report(makeReport("left", 2));
+    kit.submit(makeJob("a", { makeStep(1) }));
+    REQUIRE(kit.store.allocations().empty());
+    // The message that it had left may itself have been late and about an earlier incarnation.
+    for (std::uint64_t sequence = 3; sequence < 10; ++sequence) {
+        kit.advance({ 1000 });
+        kit.report(makeReport("left", sequence));
+    }
+    REQUIRE(kit.store.allocations().size() == 1);
+}
