Don't take a long run for stalled between two percents

Progress comes in whole percents, and a run without progress for a second was stopped and begun elsewhere. A task of more than 100 s needs longer than that for a percent: it was stopped about once a second, on each runner again, and each time counted as a failure of its runner. A report that comes a second late can do the same to shorter tasks. A run is now stalled when it has taken ten times as long as for a percent so far, by the estimate or by its progress, and a second at least; for tasks of up to 10 s by both nothing changes.

Before: the new test of findOverdueRuns() has a healthy run of 300 s overdue after 2.9 s without a percent. After: not, but it is after 60 s; the same for a run whose estimate is a hundred times too short.

--- a/include/celeryline/jobs/RunProgress.h
+++ b/include/celeryline/jobs/RunProgress.h
@@ -44,7 +44,8 @@
 
 /// Thresholds of findOverdueRuns().
 struct OverdueLimits {
-    Millis stallTimeout { 1000 }; ///< A run without progress for this long is stalled.
+    /// A run without progress for this long is stalled, unless it needs that long for a percent.
+    Millis stallTimeout { 1000 };
     /// A runner is slow if it takes this many times as long as the others of its pool.
     double slowFactor = 3;
 };
--- a/src/jobs/RunProgress.cpp
+++ b/src/jobs/RunProgress.cpp
@@ -10,6 +10,8 @@
 constexpr std::int64_t fullProgress = 100;
 /// Progress is reported in whole percents; over a shorter time the speed is too inexact.
 constexpr Millis minObservation { 200 };
+/// A run is stalled when it takes this many times as long for a percent as it should.
+constexpr std::int64_t stallFactor = 10;
 /// Minimum number of different steps that must be slow on a runner.
 constexpr std::size_t minSteps = 2;
 
@@ -28,9 +30,22 @@
     return step;
 }
 
+/// @return the time for one percent, by the estimate or by the progress so far, whichever is longer.
+Millis timePerPercent(const ObservedRun& run)
+{
+    Millis expected { run.estimate.count / fullProgress };
+    auto gained = run.progress.percent - run.progress.firstPercent;
+    if (gained <= 0)
+        return expected;
+    Millis observed { (run.progress.lastProgressAt - run.progress.firstSeenAt).count / gained };
+    return std::max(expected, observed);
+}
+
 bool isStalled(const ObservedRun& run, const OverdueLimits& limits)
 {
-    return run.progress.lastReportAt >= run.progress.lastProgressAt + limits.stallTimeout;
+    Millis slowPercent { stallFactor * timePerPercent(run).count };
+    auto timeout = std::max(limits.stallTimeout, slowPercent);
+    return run.progress.lastReportAt >= run.progress.lastProgressAt + timeout;
 }
 
 /// Speed of a runner relative to the callers' estimates.
--- a/test/RunProgressTest.cpp
+++ b/test/RunProgressTest.cpp
@@ -47,6 +47,22 @@
     REQUIRE(overdue[0].cause == OverdueCause::Stalled);
 }
 
+// Guards against a healthy run that is stopped again and again, because it takes more than a second for a
+// percent, and against one that is stopped because its last report was late.
+TEST_CASE("A run that takes long for each percent isn't stalled between two of them", "[progress]")
+{
+    constexpr Millis fiveMinutes { 300000 };
+    REQUIRE(findOverdueRuns({ makeRun("r", "a", { 2900 }, 0, fiveMinutes) }, {}).empty());
+    REQUIRE(findOverdueRuns({ makeRun("r", "a", { 60000 }, 0, fiveMinutes) }, {}).size() == 1);
+    // The estimate may be far too short; the time for the first percents shows it.
+    auto underestimated = makeRun("r", "b", { 9000 }, 0, { 1000 });
+    underestimated.progress.percent = 3;
+    underestimated.progress.lastProgressAt = now - Millis { 2000 };
+    REQUIRE(findOverdueRuns({ underestimated }, {}).empty());
+    underestimated.progress.lastReportAt = now + Millis { 60000 };
+    REQUIRE(findOverdueRuns({ underestimated }, {}).size() == 1);
+}
+
 // Guards against slow workers (six times slower here) that go undetected, and against restarts of runs whose
 // estimate is wrong.
 TEST_CASE("Runs on a slow runner are overdue, runs with a wrong estimate are not", "[progress]")
