Change the leader in quick series in the progress simulation

ProgressSimulation changed the leader only now and then among other faults, and checked no rule until four seconds after the last one, so timers that begin anew with each leader went unseen. A new rule holds at all times: the runs of a runner that is gone, has restarted or is silent end within two leases (8.4 s). A second test plays series of leader changes every two seconds, 12 to 20 s long, each with a runner that is silent meanwhile; the histories of the first test stay as they are.

--- a/test/ProgressRules.cpp
+++ b/test/ProgressRules.cpp
@@ -2,6 +2,7 @@
 #include "ProgressSimulationParts.h"
 
 #include <sstream>
+#include <utility>
 
 namespace celeryline::test {
 namespace {
@@ -10,6 +11,8 @@
 constexpr std::int64_t settleMs = 4000;
 constexpr std::int64_t maxWaitMs = 3000;
 constexpr std::int64_t maxLongRunningDownMs = 6000;
+/// Two leases; whoever leads, the runs of a lost runner must have ended by then.
+constexpr std::int64_t maxLostRunMs = 8400;
 
 bool fits(const Resources& demand, const Resources& free)
 {
@@ -81,8 +84,30 @@
     return 2 * free.cpuMilli > all.cpuMilli && 2 * free.memoryMb > all.memoryMb;
 }
 
+bool ProgressSimulation::isLost(const RunnerIncarnation& incarnation) const
+{
+    auto found = m_runners.find(incarnation.runner);
+    return found == m_runners.end() || found->second->born != incarnation.startTime.count
+        || found->second->has(Fault::Silent, m_now);
+}
+
+void ProgressSimulation::checkLostRunners()
+{
+    std::map<RunnerIncarnation, std::int64_t> lostSince;
+    for (const auto& [incarnation, allocation] : m_store.allocations()) {
+        if (!isLost(incarnation))
+            continue;
+        auto known = m_lostSince.find(incarnation);
+        auto since = lostSince.emplace(incarnation, known == m_lostSince.end() ? m_now : known->second);
+        if (m_now >= since.first->second + maxLostRunMs)
+            fail("a run of a lost runner did not end for two leases", allocation.runs.begin()->task);
+    }
+    m_lostSince = std::move(lostSince);
+}
+
 void ProgressSimulation::check()
 {
+    checkLostRunners();
     if (m_now < m_lastFault + settleMs || m_leading < 0) {
         m_waitsSince.clear();
         return;
--- a/test/ProgressSimulation.h
+++ b/test/ProgressSimulation.h
@@ -109,6 +109,8 @@
 
     // Rules.
     void check();
+    void checkLostRunners();
+    bool isLost(const RunnerIncarnation& incarnation) const;
     void checkJob(const JobId& id, const JobState& job);
     void checkLongRunning(const JobId& id, const JobState& job);
     void fail(const std::string& what, const TaskName& task);
@@ -132,6 +134,7 @@
     std::int64_t m_lastFault = 0;
     std::map<TaskName, std::int64_t> m_waitsSince; ///< By task; since when it waits despite free capacity.
                                                    ///< Steps are represented by their first task.
+    std::map<RunnerIncarnation, std::int64_t> m_lostSince; ///< Lost runners with committed runs.
     std::string m_violation;
     std::uint64_t m_startedRuns = 0;
     std::vector<JobId> m_accepted;
--- a/test/ProgressTest.cpp
+++ b/test/ProgressTest.cpp
@@ -35,11 +35,19 @@
     return text == nullptr ? 1 : std::strtoull(text, nullptr, 10);
 }
 
+/// Faults of a scenario.
+enum class Disturbance {
+    Mixed, ///< Faults of all kinds at random times.
+    LeaderSeries ///< Series of leader changes every two seconds, each with a runner that is cut off
+                 ///< meanwhile.
+};
+
 /// Generates random requests, and phases with faults that alternate with phases without.
 class RandomScenario {
 public:
-    explicit RandomScenario(std::uint64_t seed)
+    explicit RandomScenario(std::uint64_t seed, Disturbance disturbance = Disturbance::Mixed)
         : m_simulation(seed)
+        , m_disturbance(disturbance)
     {
         for (int i = 0; i < pools; ++i)
             m_simulation.addPool(poolName(i));
@@ -64,7 +72,11 @@
         auto endsAt = m_simulation.now() + 20000 + static_cast<std::int64_t>(m_simulation.below(20000));
         while (m_simulation.now() < endsAt && m_simulation.violation().empty()) {
             request();
-            disturb();
+            if (m_disturbance == Disturbance::Mixed) {
+                disturb();
+            } else {
+                changeLeaders();
+            }
             m_simulation.step();
         }
         m_simulation.clearFaults();
@@ -242,6 +254,23 @@
         }
     }
 
+    void changeLeaders()
+    {
+        auto now = m_simulation.now();
+        if (now >= m_phaseUntil) {
+            m_isFaultPhase = !m_isFaultPhase;
+            auto length = m_isFaultPhase ? between(12000, 20000) : between(8000, 10000);
+            m_phaseUntil = now + length;
+            auto machine = below(m_simulation.machines().size());
+            if (m_isFaultPhase)
+                m_simulation.injectFault(machine, Fault::Silent, length);
+        }
+        if (!m_isFaultPhase || now < m_nextLeaderAt)
+            return;
+        m_nextLeaderAt = now + 2000;
+        m_simulation.changeLeader(between(300, 800));
+    }
+
     void startWave()
     {
         if (m_waves >= 2)
@@ -258,6 +287,7 @@
     }
 
     ProgressSimulation m_simulation;
+    Disturbance m_disturbance;
     double m_load = 0; ///< Arriving work as a fraction of a pool's capacity.
     double m_peak = 0;
     int m_jobs = 0;
@@ -266,8 +296,18 @@
     std::int64_t m_peakUntil = 0;
     bool m_isFaultPhase = false;
     std::int64_t m_phaseUntil = 4000;
+    std::int64_t m_nextLeaderAt = 0;
 };
 
+void checkScenario(std::uint64_t seed, Disturbance disturbance)
+{
+    RandomScenario scenario(seed, disturbance);
+    auto violation = scenario.simulate();
+    INFO("seed " << seed << ": " << violation);
+    CHECK(violation.empty());
+    CHECK(scenario.simulation().startedRuns() > 0);
+}
+
 } // namespace
 
 // Guards against tasks that wait although there is free capacity (incident inc1 of the Consorzio: accepted
@@ -276,11 +316,14 @@
 {
     if (std::getenv("CELERYLINE_PROGRESS_EVENTS") != nullptr)
         setUpEventLog("progress");
-    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed) {
-        RandomScenario scenario(seed);
-        auto violation = scenario.simulate();
-        INFO("seed " << seed << ": " << violation);
-        CHECK(violation.empty());
-        CHECK(scenario.simulation().startedRuns() > 0);
-    }
+    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed)
+        checkScenario(seed, Disturbance::Mixed);
+}
+
+// Guards against runs of a lost runner that end only once a leader stays, because each one counts the
+// runner's lease anew.
+TEST_CASE("Runs of lost runners end while the leader changes every two seconds", "[progress][random]")
+{
+    for (auto seed = firstSeed(); seed < firstSeed() + seedCount(); ++seed)
+        checkScenario(seed, Disturbance::LeaderSeries);
 }
