Avoid the runner where a task failed after a change of leader too

Where a task failed was known only to the leader that committed the failure. The next one could start the task on the same runner at once, again and again, until the attempts were used up and a job that could be done was shown as failed. Each replica now takes the failures from the commands that it applies, before it applies them, since the runner of a run is known only until then; a new leader keeps them. Quarantine still begins anew with each leader; that takes failures of several jobs.

Before: in the new test, with a change of leader between the failure and the next plan, the task starts on the runner where it failed although the other one is free. After: on the other one.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -105,7 +105,8 @@
     /// Resets the volatile state at the start of a term of leadership.
     void startTerm();
 
-    /// Records when runners were noted as silent. Call it for each applied command on every replica.
+    /// Records when runners were noted as silent and where tasks failed. Call it for each committed command
+    /// on every replica, before the command is applied.
     void onCommitted(const JobCommand& command);
 
     /// Call it when a snapshot replaces the state. The silences in it count from this time.
@@ -218,10 +219,13 @@
     ServingLatency servingLatencyOf(const RunnerReport& report) const;
     void recordOutcomes(const std::vector<JobCommand>& commands, const RunnerIncarnation& incarnation);
     void recordFailure(const RunName& run, const RunnerIncarnation& incarnation);
+    void avoidFailedRunner(const EndRun& end);
     std::vector<ObservedRun> observedRuns() const;
     void replaceOverdueRuns();
     bool replaceOverdueRun(const OverdueRun& overdue);
     void pruneStaleState();
+    /// Drops what onCommitted() recorded and is no longer needed, while another instance leads.
+    void followCommits();
     bool mustNoteSilence(
         const RunnerIncarnation& incarnation, const RunnerAllocation& allocation, Millis leaseLeft) const;
     void noteSilences();
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -153,8 +153,8 @@
 void ControlNode::apply(const LogEntry& entry)
 {
     auto command = decodeJobCommand(entry.payload);
-    m_store.apply(command, entry.time);
     m_master.onCommitted(command);
+    m_store.apply(command, entry.time);
     if (m_machines)
         m_machines->onCommitted(command);
 }
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -50,7 +50,8 @@
     m_pendingSilences.clear();
     m_overdue.clear();
     m_trust.clear();
-    m_hints = {};
+    m_hints.speculativeTasks.clear();
+    m_nextHousekeeping = {};
     m_waits.clear();
     m_waitingSince.clear();
     m_adviceCache.clear();
@@ -62,6 +63,7 @@
     if (!m_log.isLeading()) {
         answerAwaitingPlan();
         answerExpired();
+        followCommits();
         return;
     }
     if (m_mustPlan)
@@ -85,6 +87,15 @@
     removeOldJobs();
 }
 
+void JobMaster::followCommits()
+{
+    auto now = m_clock().steady;
+    if (now < m_nextHousekeeping)
+        return;
+    m_nextHousekeeping = now + m_options.housekeepingInterval;
+    pruneStaleState();
+}
+
 void JobMaster::request(JobCommand command, RequestCallback done)
 {
     if (!m_log.isLeading()) {
--- a/src/jobs/JobMasterHealth.cpp
+++ b/src/jobs/JobMasterHealth.cpp
@@ -47,9 +47,18 @@
         return;
     m_trust.recordResult(incarnation, state->report.service, run.task, true, m_clock().steady);
     m_changedRunners.insert(incarnation.runner);
-    const auto* step = m_store.findStep(run.task);
-    if (step != nullptr && !step->isLongRunning)
-        m_hints.failedOn[run.task][incarnation.runner] = m_clock().steady;
+}
+
+void JobMaster::avoidFailedRunner(const EndRun& end)
+{
+    const auto* task = m_store.findTask(end.run.task);
+    const auto* step = m_store.findStep(end.run.task);
+    if (task == nullptr || step == nullptr || step->isLongRunning)
+        return;
+    for (const auto& run : task->runs) {
+        if (run.number == end.run.run)
+            m_hints.failedOn[end.run.task][run.incarnation.runner] = m_clock().steady;
+    }
 }
 
 std::vector<ObservedRun> JobMaster::observedRuns() const
@@ -79,6 +88,7 @@
             continue;
         m_overdue.insert(overdue.run);
         recordFailure(overdue.run, overdue.incarnation);
+        m_hints.failedOn[overdue.run.task][overdue.incarnation.runner] = m_clock().steady;
         describeRun("run-overdue", overdue.run)
             .with("runner", overdue.incarnation.runner)
             .with("cause", causeName(overdue.cause))
--- a/src/jobs/JobMasterSilence.cpp
+++ b/src/jobs/JobMasterSilence.cpp
@@ -15,6 +15,9 @@
 
 void JobMaster::onCommitted(const JobCommand& command)
 {
+    const auto* end = std::get_if<EndRun>(&command);
+    if (end != nullptr && end->outcome == RunOutcome::Failed)
+        avoidFailedRunner(*end);
     if (const auto* silence = std::get_if<NoteSilence>(&command))
         m_silenceAppliedAt[silence->incarnation] = m_clock().steady;
     if (const auto* contact = std::get_if<NoteContact>(&command))
@@ -29,6 +32,7 @@
 {
     m_snapshotAppliedAt = m_clock().steady;
     m_silenceAppliedAt.clear();
+    m_hints.failedOn.clear();
 }
 
 bool JobMaster::mustNoteSilence(
--- a/test/JobKit.h
+++ b/test/JobKit.h
@@ -90,9 +90,9 @@
             auto [commands, done] = std::move(proposals.front());
             proposals.pop_front();
             for (const auto& command : commands) {
+                if (onCommitted)
+                    onCommitted(command);
                 m_store.apply(command, {});
-                if (onApplied)
-                    onApplied(command);
             }
             done(true);
         }
@@ -111,7 +111,7 @@
     bool leads = true;
     bool commitsImmediately = true;
     std::uint64_t currentTerm = 7;
-    std::function<void(const JobCommand&)> onApplied;
+    std::function<void(const JobCommand&)> onCommitted;
     std::deque<std::pair<std::vector<JobCommand>, std::function<void(bool)>>> proposals;
 
 private:
@@ -132,7 +132,7 @@
         : log(store)
         , master(options, store, log, [this] { return moment; })
     {
-        log.onApplied = [this](const JobCommand& command) { master.onCommitted(command); };
+        log.onCommitted = [this](const JobCommand& command) { master.onCommitted(command); };
         store.apply(AcceptConfiguration { makeConfiguration() }, {});
         master.startTerm();
     }
--- a/test/JobSimulationParts.h
+++ b/test/JobSimulationParts.h
@@ -142,8 +142,8 @@
     void apply(const LogEntry& entry) override
     {
         auto command = decodeJobCommand(entry.payload);
-        m_store->apply(command, entry.time);
         m_master->onCommitted(command);
+        m_store->apply(command, entry.time);
     }
     std::string takeSnapshot() const override { return m_store->takeSnapshot(); }
     void restoreSnapshot(const std::string& bytes) override
--- a/test/LeaderChangesTest.cpp
+++ b/test/LeaderChangesTest.cpp
@@ -115,3 +115,28 @@
     REQUIRE(orders);
     REQUIRE(orders->lease > Millis {});
 }
+
+// Guards against a task that uses up its attempts on one bad runner, because each new leader has forgotten
+// where it failed.
+TEST_CASE("A task avoids the runner where it failed after a change of leader", "[master]")
+{
+    JobMasterFixture fixture;
+    fixture.report(makeReport("a", 1));
+    fixture.report(makeReport("b", 1));
+    fixture.submit(makeJob("job", { makeStep(1) }));
+    auto bad = fixture.store.allocations().begin()->first.runner;
+    auto start = fixture.report(makeReport(bad, 2))->starts.at(0);
+    auto report = makeReport(bad, 3);
+    report.ended.push_back(ended(1, start, RunOutcome::Failed));
+    fixture.log.commitsImmediately = false;
+    fixture.report(report);
+    fixture.log.commit(); // The leader changes before its next plan.
+    ++fixture.log.currentTerm;
+    fixture.master.startTerm();
+    fixture.log.commitsImmediately = true;
+    for (const auto* runner : { "a", "b" })
+        fixture.master.report(makeReport(runner, 4), [](const std::optional<RunnerOrders>&) {});
+    fixture.master.tick();
+    REQUIRE(fixture.store.allocations().size() == 1);
+    REQUIRE(fixture.store.allocations().begin()->first.runner != bad);
+}
--- a/test/ProgressSimulationParts.h
+++ b/test/ProgressSimulationParts.h
@@ -76,11 +76,11 @@
     void apply(const std::vector<JobCommand>& commands)
     {
         for (const auto& command : commands) {
-            m_simulation.m_store.apply(command, m_simulation.moment().wall);
-            for (auto& instance : m_simulation.m_instances) {
+            for (auto& instance : m_simulation.m_instances)
                 instance->master.onCommitted(command);
+            m_simulation.m_store.apply(command, m_simulation.moment().wall);
+            for (auto& instance : m_simulation.m_instances)
                 instance->machines.onCommitted(command);
-            }
         }
     }
 
