--- a/include/celeryline/jobs/RunnerTable.h
+++ b/include/celeryline/jobs/RunnerTable.h
@@ -18,7 +18,8 @@
     /// Steady time by which all its runs have certainly stopped, unless it reports before.
     Millis leaseExpiry;
     std::uint64_t acknowledgedEnds = 0;
-    bool hasLeft = false;
+    bool hasLeft = false; ///< It has shut down, or its machine was taken down.
+    Millis leftAt; ///< Steady time of that; only valid if hasLeft.
     std::map<RunName, RunProgress> progress; ///< Progress of the runs in the most recent report.
     std::int64_t bestEffortRate = 100; ///< Rate limit of its best-effort tasks, in percent.
 };
@@ -46,9 +47,12 @@
     void markLeft(const std::string& runner, Millis now);
 
     /// @param incarnation an incarnation of a runner.
-    /// @param now steady time.
-    /// @return whether all runs that it was ordered to start have certainly stopped.
-    bool hasExpired(const RunnerIncarnation& incarnation, Millis now) const;
+    /// @return the steady time by which all runs that it was ordered to start have certainly stopped, as far
+    /// as its reports in this term show.
+    Millis leaseExpiry(const RunnerIncarnation& incarnation) const;
+
+    /// @return the steady time at which the term started.
+    Millis resetAt() const { return m_resetAt; }
 
     /// @return the runner, if this is its latest known incarnation.
     const RunnerState* find(const RunnerIncarnation& incarnation) const;
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -25,7 +26,11 @@
     Millis orderTimeout { 1500 };
     Millis moveDuration { 1500 }; ///< From the order of a move until the new runner is up.
     Millis upkeepDuration { 2000 }; ///< From the order of an upkeep until the new runner is up.
+    Millis firstReportMargin { 300 }; ///< Time for the first report of the new runner.
     Millis listInterval { 1000 };
+    /// A list call without an answer is repeated after this time. Longer than a slow provider takes for all
+    /// pages of a large fleet.
+    Millis listTimeout { 30000 };
     /// The provider counts as unavailable after this time without an answer; machines then keep their tasks.
     Millis providerTimeout { 3000 };
     Millis planInterval { 200 };
@@ -142,10 +147,16 @@
     Millis m_nextPlanAt;
     Millis m_nextBalanceLogAt;
     bool m_isListing = false;
+    Millis m_listRequestedAt;
+    std::uint64_t m_listRequests = 0; ///< Number of list calls so far.
+    std::uint64_t m_newestList = 0; ///< Number of the newest list call that gave a list.
     std::map<std::string, Machine> m_machines;
     std::set<MachineKind> m_kinds; ///< Kinds of all machines listed in this term.
     std::map<std::string, Operation> m_operations; ///< By machine.
-    /// Machines with an operation or in a wave that the provider doesn't list.
+    std::optional<Millis>
+        m_listedAt; ///< Steady time of the last list of this term; nothing before the first.
+    /// Machines with an operation or in a wave that the provider doesn't list: time of the first list without
+    /// them.
     std::map<std::string, Millis> m_absentSince;
     ArrivalRate m_arrivalRate;
     /// Machines whose move was refused aren't moved until then.
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -25,8 +25,8 @@
     : m_options(std::move(options))
     , m_timer(timer)
     , m_clock(clock)
-    , m_log(logOptions(), files, *this, clock.now())
     , m_master(m_options.jobs, m_store, *this, [this] { return moment(); })
+    , m_log(logOptions(), files, *this, clock.now())
     , m_formation(m_options.address, m_options.seeds, m_options.isFirstStart, m_options.voters)
     , m_links(timer, network)
     , m_client(m_links, {})
@@ -84,7 +84,8 @@
         if (response.outcome == ForwardOutcome::Answered)
             return kj::mv(response);
         // All requests are idempotent, so this one can be sent to the next leader.
-        return m_client.forward(std::move(request), timeout, timeout);
+        bool mayHaveRun = response.outcome == ForwardOutcome::Unknown;
+        return m_client.forward(std::move(request), timeout, timeout, mayHaveRun);
     });
 }
 
@@ -161,13 +162,13 @@
 void ControlNode::clear()
 {
     m_store = {};
-    if (m_machines)
-        m_machines->onSnapshot();
+    onStateReplaced();
 }
 
 void ControlNode::apply(const LogEntry& entry)
 {
     auto command = decodeJobCommand(entry.payload);
+    m_master.onCommitted(command);
     m_store.apply(command, entry.time);
     if (m_machines)
         m_machines->onCommitted(command);
@@ -176,6 +177,12 @@
 void ControlNode::restoreSnapshot(const std::string& bytes)
 {
     m_store.restoreSnapshot(bytes);
+    onStateReplaced();
+}
+
+void ControlNode::onStateReplaced()
+{
+    m_master.onSnapshot();
     if (m_machines)
         m_machines->onSnapshot();
 }
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -71,6 +71,7 @@
     m_machines.clear();
     m_kinds.clear();
     m_operations.clear();
+    m_listedAt.reset();
     m_absentSince.clear();
     m_refusedUntil.clear();
     m_pausedUntil.clear();
@@ -89,7 +90,8 @@
     if (!m_log.isLeading() || m_term != m_log.term())
         return;
     auto now = m_clock().steady;
-    if (now >= m_nextListAt && !m_isListing)
+    bool isOverdue = now >= m_listRequestedAt + m_options.listTimeout;
+    if (now >= m_nextListAt && (!m_isListing || isOverdue))
         requestList();
     if (now >= m_nextPlanAt) {
         m_nextPlanAt = now + m_options.planInterval;
@@ -145,8 +147,11 @@
             = order.holder == m_options.holder ? m_options.orderTimeout : m_options.takeoverDelay;
         if (now < givenBefore + blockedTime)
             m_orderBlockedUntil[machine] = givenBefore + blockedTime;
-        if (now < givenBefore + m_options.takeoverDelay)
-            m_maybeDownUntil[machine] = givenBefore + m_options.takeoverDelay;
+        // The order may have arrived as late as a call may take.
+        auto downTime = std::max(m_options.takeoverDelay,
+            m_options.orderTimeout + m_options.upkeepDuration + m_options.firstReportMargin);
+        if (now < givenBefore + downTime)
+            m_maybeDownUntil[machine] = givenBefore + downTime;
     }
 }
 
@@ -165,14 +170,19 @@
 void MachineMaster::requestList()
 {
     m_isListing = true;
-    m_nextListAt = m_clock().steady + m_options.listInterval;
-    m_provider.list([this, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
-        m_isListing = false;
-        if (!machines || term != m_log.term())
-            return;
-        onProviderAnswer();
-        updateMachines(*machines);
-    });
+    m_listRequestedAt = m_clock().steady;
+    m_nextListAt = m_listRequestedAt + m_options.listInterval;
+    m_provider.list(
+        [this, request = ++m_listRequests, term = m_term](std::optional<std::vector<MachineInfo>> machines) {
+            if (request == m_listRequests)
+                m_isListing = false;
+            // A call that was repeated may still be the first one to end.
+            if (!machines || term != m_log.term() || request < m_newestList)
+                return;
+            m_newestList = request;
+            onProviderAnswer();
+            updateMachines(*machines);
+        });
 }
 
 void MachineMaster::updateMachines(const std::vector<MachineInfo>& machines)
@@ -194,6 +204,7 @@
         known[info.machine] = std::move(machine);
     }
     m_machines = std::move(known);
+    m_listedAt = m_clock().steady;
     for (const auto& info : machines) {
         m_absentSince.erase(info.machine);
         m_kinds.insert({ info.capacity, info.labels });
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -130,10 +130,67 @@
     Introduction malformed;
     malformed.address = "not an address";
     malformed.storageId = "storage";
-    malformed.members = { "", "127.0.0.1:99999", "host.invalid:7060" };
+    malformed.members = { "", "127.0.0.1:99999", "host.invalid:7060", "10.0.0.1", "10.0.0.1:port", ":" };
     ControlLinks links(timer, io.provider->getNetwork());
     REQUIRE(links.to(reserved.text()).introduce(malformed, introductionTimeout).wait(io.waitScope).hasResult);
     timer.afterDelay(longerThanIntroductionInterval).wait(io.waitScope);
     CHECK_FALSE(hasFailed);
     CHECK(single.node().isLeading());
+    bool isCommitted = false;
+    single.node().master().request(SubmitJob { makeJob("after", { makeStep(1) }), {} },
+        [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
+    CHECK(single.waitFor([&] { return isCommitted; }));
+}
+
+namespace {
+
+/// Commits a job, on a disk that has just become full.
+class FailingHandler final : public RequestHandler {
+public:
+    FailingHandler(ControlNode& node, MemoryFileSystem& files)
+        : m_node(node)
+        , m_files(files)
+    {
+    }
+
+    kj::Promise<ForwardedResponse> handle(const ForwardedRequest&) override
+    {
+        m_files.setFreeBytes(0);
+        auto paf = kj::newPromiseAndFulfiller<bool>();
+        auto fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<bool>>>(kj::mv(paf.fulfiller));
+        SubmitJob command { makeJob("job", { makeStep(1) }), {} };
+        m_node.master().request(std::move(command), [fulfiller](RequestOutcome outcome) {
+            (*fulfiller)->fulfill(outcome == RequestOutcome::Unknown);
+        });
+        return paf.promise.then([](bool isUnknown) {
+            ForwardedResponse response;
+            response.outcome = isUnknown ? ForwardOutcome::Unknown : ForwardOutcome::Answered;
+            return response;
+        });
+    }
+
+private:
+    ControlNode& m_node;
+    MemoryFileSystem& m_files;
+};
+
+} // namespace
+
+// Guards against a caller that is told that its request was not carried out, although the entry may still be
+// committed: the leader lost its term while it committed, and found no other one.
+TEST_CASE("A request that was proposed and found no other leader has an unknown outcome", "[control]")
+{
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    const ReservedAddress reserved;
+    SingleNode single(io, files, reserved.text(), true);
+    REQUIRE(single.waitFor([&] { return single.node().isLeading(); }));
+    FailingHandler handler(single.node(), files);
+    single.node().setHandler(handler);
+    ForwardedRequest request;
+    request.method = "PUT";
+    auto outcome = ForwardOutcome::Answered;
+    auto answered = single.node().request(std::move(request), { 400 });
+    answered.then([&](ForwardedResponse&& response) { outcome = response.outcome; }).wait(io.waitScope);
+    REQUIRE(outcome == ForwardOutcome::Unknown);
 }
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
 
 using namespace celeryline;
 using namespace celeryline::test;
@@ -24,7 +26,9 @@
 
     void list(ListCallback done) override
     {
-        if (isUnavailable) {
+        if (holdsLists) {
+            heldLists.push_back(std::move(done));
+        } else if (isUnavailable) {
             done(std::nullopt);
         } else {
             done(machines);
@@ -53,12 +57,14 @@
 
     std::vector<MachineInfo> machines;
     std::vector<Order> orders;
-    bool isUnavailable = false; ///< It answers no list call.
+    bool isUnavailable = false; ///< List calls fail.
+    bool holdsLists = false; ///< List calls don't end.
+    std::vector<ListCallback> heldLists;
 };
 
 struct MachineFixture : JobMasterFixture {
-    MachineFixture()
-        : machines(options(), master, store, log, provider, [this] { return moment; })
+    explicit MachineFixture(const MachineMasterOptions& options = defaultOptions())
+        : machines(options, master, store, log, provider, [this] { return moment; })
     {
         auto configuration = makeConfiguration(2);
         auto queue = configuration.queues.front();
@@ -70,7 +76,7 @@
         machines.startTerm();
     }
 
-    static MachineMasterOptions options()
+    static MachineMasterOptions defaultOptions()
     {
         MachineMasterOptions made;
         made.holder = "holder";
@@ -106,6 +112,15 @@
         machines.onCommitted(note);
     }
 
+    /// Starts a wave of which an earlier leader has begun a machine.
+    void applyBegunUpkeep(const std::vector<std::string>& wave, const std::string& begun)
+    {
+        store.apply(StartWave { 5, wave, { 60000 }, 1, moment.wall }, {});
+        NoteUpkeep note { 5, begun, false, { "earlier", 6, { 500 } } };
+        store.apply(note, {});
+        machines.onCommitted(note);
+    }
+
     /// Advances the time while an idle runner reports, until it gets a start.
     /// @return the starts.
     std::vector<StartOrder> advanceUntilStart(const std::string& runner, std::int64_t milliseconds)
@@ -312,6 +327,24 @@
     REQUIRE(fixture.provider.orders[0].machine == "m2");
 }
 
+// The same for an upkeep that takes longer than the wait for the earlier leader's orders (rule LIMIT).
+TEST_CASE("Machines that the earlier leader took down count as down for a long upkeep", "[machines]")
+{
+    auto options = MachineFixture::defaultOptions();
+    options.upkeepDuration = { 10000 };
+    MachineFixture fixture(options);
+    fixture.addMachine("m1", "pool", "r1");
+    fixture.addMachine("m2", "pool", "r2");
+    fixture.advanceTime(10000);
+    fixture.applyBegunUpkeep({ "m1", "m2" }, "m1");
+    fixture.store.apply(NoteUpkeep { 5, "m1", true, {} }, {});
+    fixture.machines.startTerm();
+    fixture.advanceTime(11500); // The order may have arrived 1.5 s after it was given.
+    REQUIRE(fixture.provider.orders.empty());
+    fixture.advanceTime(1000);
+    REQUIRE(fixture.isOrdered("m2"));
+}
+
 // A new leader must not lose an upkeep that its predecessor may have ordered.
 TEST_CASE("A new leader repeats an upkeep that was begun", "[machines]")
 {
@@ -340,6 +373,61 @@
     REQUIRE(fixture.store.waves().at(5).done.count("gone") == 1);
 }
 
+// Only a list shows that a machine is missing. A new leader without any list counted the machine of a begun
+// upkeep as gone, and its wave was complete before the upkeep had begun (rule MIXED).
+TEST_CASE("A machine doesn't count as gone while the provider is silent", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.applyBegunUpkeep({ "m" }, "m");
+    fixture.provider.isUnavailable = true;
+    fixture.machines.startTerm();
+    fixture.advanceTime(20000);
+    REQUIRE(fixture.store.waves().at(5).done.empty());
+    fixture.provider.isUnavailable = false;
+    fixture.advanceTime(2000);
+    REQUIRE(fixture.isOrdered("m"));
+}
+
+// The silence of the provider adds nothing to the time for which a machine was missing before.
+TEST_CASE("The provider's silence doesn't count as absence of a machine", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.advanceTime(4000);
+    fixture.applyBegunUpkeep({ "m" }, "m");
+    fixture.machines.startTerm();
+    fixture.provider.machines.clear();
+    fixture.advanceTime(2000);
+    fixture.provider.isUnavailable = true;
+    fixture.advanceTime(20000);
+    REQUIRE(fixture.store.waves().at(5).done.empty());
+}
+
+// A list call that is never answered must not be the last one.
+TEST_CASE("Machines are listed again when a list call gets no answer", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.provider.holdsLists = true;
+    fixture.advanceTime(2000);
+    fixture.provider.holdsLists = false;
+    fixture.advanceTime(30000);
+    REQUIRE_FALSE(fixture.machines.couldEverFit(makeJob("large", { makeStep(1, 5000, 1000) })));
+}
+
+// A provider that needs longer for each list than a call waits must not go without any list.
+TEST_CASE("A list that comes after its call was repeated is used", "[machines]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "r");
+    fixture.provider.holdsLists = true;
+    fixture.advanceTime(32000);
+    REQUIRE(fixture.provider.heldLists.size() == 2);
+    fixture.provider.heldLists.front()(fixture.provider.machines);
+    REQUIRE_FALSE(fixture.machines.couldEverFit(makeJob("large", { makeStep(1, 5000, 1000) })));
+}
+
 // A refused order must not be repeated with each plan, five times a second.
 TEST_CASE("A move that was refused is not tried again at once", "[machines]")
 {
--- a/test/ProgressSimulationParts.h
+++ b/test/ProgressSimulationParts.h
@@ -76,6 +76,8 @@
     void apply(const std::vector<JobCommand>& commands)
     {
         for (const auto& command : commands) {
+            for (auto& instance : m_simulation.m_instances)
+                instance->master.onCommitted(command);
             m_simulation.m_store.apply(command, m_simulation.moment().wall);
             for (auto& instance : m_simulation.m_instances)
                 instance->machines.onCommitted(command);
