--- /dev/null
+++ b/test/platform_rig/__init__.py
@@ -0,0 +1,1 @@
+"""A site of real celeryline-platform processes on loopback, its stand-ins, faults and checks."""
