Treat an address that can't be read like an unreachable one

Cause: ControlLink parsed its address outside of its promises. An introduction with a damaged address (its own, or one in the list of members) put the text into the list of known addresses; the next attempt to connect threw "Host not found" or "Service not found" from the task that sends introductions, and the control process ended. Introductions had passed the text on by then, so that all control processes ended.

Change: the address is parsed when the connection is opened, and a text that isn't "IP:port" fails that attempt as a refused connection does. Names are not resolved any more; resolving one blocks the event loop.

Open: a damaged address stays in the lists of known addresses and is tried at each introduction until a restart.

--- a/include/celeryline/rpc/ControlLink.h
+++ b/include/celeryline/rpc/ControlLink.h
@@ -57,6 +57,7 @@
 
     void taskFailed(kj::Exception&& exception) override;
     kj::Promise<void> whenConnected();
+    kj::Promise<kj::Own<kj::AsyncIoStream>> openStream();
     void startConnecting();
     void onConnected(kj::Own<kj::AsyncIoStream>&& stream);
     void queueRaft(RaftMessage message);
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -6,8 +6,12 @@
 #include "celeryline/settings/Logging.h"
 
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
 #include <capnp/rpc-twoparty.h>
 
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <utility>
 
 namespace celeryline {
@@ -25,6 +29,19 @@
 
 kj::Duration toKj(Millis time) { return time.count * kj::MILLISECONDS; }
 
+/// @return the address, or nothing if the text isn't "IP:port". Names are not resolved.
+std::optional<Poco::Net::SocketAddress> parseAddress(const std::string& text)
+{
+    auto colon = text.rfind(':');
+    Poco::Net::IPAddress ip;
+    unsigned port = 0;
+    if (colon == std::string::npos || !Poco::Net::IPAddress::tryParse(text.substr(0, colon), ip)
+        || !Poco::NumberParser::tryParseUnsigned(text.substr(colon + 1), port)
+        || port > std::numeric_limits<std::uint16_t>::max())
+        return std::nullopt;
+    return Poco::Net::SocketAddress(ip, static_cast<std::uint16_t>(port));
+}
+
 } // namespace
 
 /// An open connection. The members are destroyed in reverse order, the calls first.
@@ -75,14 +92,20 @@
     return KJ_EXCEPTION(DISCONNECTED, "not connected");
 }
 
+kj::Promise<kj::Own<kj::AsyncIoStream>> ControlLink::openStream()
+{
+    // Addresses also come from other processes, so one that can't be read is handled like an unreachable one.
+    auto parsed = parseAddress(m_address);
+    if (!parsed)
+        return KJ_EXCEPTION(DISCONNECTED, "the address isn't of the form IP:port");
+    auto address = m_network.getSockaddr(parsed->addr(), parsed->length());
+    return m_timer.timeoutAfter(connectTimeout, address->connect()).attach(kj::mv(address));
+}
+
 void ControlLink::startConnecting()
 {
-    Poco::Net::SocketAddress socketAddress(m_address);
-    auto address = m_network.getSockaddr(socketAddress.addr(), socketAddress.length());
     auto retryDelay = m_timer.atTime(kj::max(m_retryAt, m_timer.now()));
-    auto stream = retryDelay.then([this, address = kj::mv(address)]() mutable {
-        return m_timer.timeoutAfter(connectTimeout, address->connect()).attach(kj::mv(address));
-    });
+    auto stream = retryDelay.then([this] { return openStream(); });
     m_connecting = stream
                        .then([this](kj::Own<kj::AsyncIoStream>&& opened) { onConnected(kj::mv(opened)); },
                            [this](kj::Exception&& e) {
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -98,3 +98,32 @@
     SingleNode restarted(io, files, address, false);
     REQUIRE(restarted.waitFor([&] { return restarted.node().store().jobCount() == jobs; }));
 }
+
+// Guards against an address that can't be read: it reached all control processes with introductions, and each
+// of them terminated when it tried to connect.
+TEST_CASE("Addresses that can't be read don't terminate a control process", "[control]")
+{
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    auto address = freeAddress();
+    SingleNode single(io, files, address, true);
+    bool hasFailed = false;
+    auto failure = single.node()
+                       .untilFailed()
+                       .catch_([&hasFailed](kj::Exception&&) { hasFailed = true; })
+                       .eagerlyEvaluate(nullptr);
+    Introduction malformed;
+    malformed.address = "not an address";
+    malformed.storageId = "storage";
+    malformed.members = { "127.0.0.1:99999999", "127.0.0.1:port", "300.0.0.1:7060", ":", "\x01\xff" };
+    ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
+    links.to(address).introduce(malformed, { 1000 }).wait(io.waitScope);
+    // An election takes longer than the interval of introductions, so all addresses are tried before it ends.
+    REQUIRE(single.waitFor([&] { return hasFailed || single.node().isLeading(); }));
+    REQUIRE_FALSE(hasFailed);
+    auto committed = std::make_shared<bool>(false);
+    single.node().master().request(SubmitJob { makeJob("job", { makeStep(1) }), {} },
+        [committed](RequestOutcome outcome) { *committed = outcome == RequestOutcome::Done; });
+    REQUIRE(single.waitFor([&] { return hasFailed || *committed; }));
+    REQUIRE_FALSE(hasFailed);
+}
