Add scenarios around changes of the leader and malformed messages to the rig

Change: six scenarios on real processes. paused_leader reads the configuration from a leader that was paused past its lease. wave_handover changes the leader during a wave of upkeep and checks its limit, its end and who orders each machine. lost_answers sends jobs again whose answers were lost, also after they completed. slow_reports has runners that report late but within their leases. late_heartbeats repeats heartbeats of an ended life of a runner, also after a kill of all. malformed_messages sends random bytes, huge lengths, unfinished messages and changed copies of recorded introductions to all listeners and RPC ports, and checks ends of processes and their peak memory. A run now uses addresses of its own, keeps its folder under the build folder in use, and a client that resends jobs ends with its run: jobs of one scenario reached the next one, which reported them as not submitted.

--- a/test/platform_rig/callers.py
+++ b/test/platform_rig/callers.py
@@ -110,6 +110,10 @@
             self.ledger.violation(f"CONFIG: {address} answered a read with {answer.status}")
         time.sleep(self.INTERVAL)
 
+    def stop(self):
+        self.longest_gap = max(self.longest_gap, self.site.now() - self.last_read)
+        super().stop()
+
 
 class Client(Caller):
     """Submits one job after the other and waits for the end of each."""
--- a/test/platform_rig/machines.py
+++ b/test/platform_rig/machines.py
@@ -9,7 +9,8 @@
 
 from platform_rig.calls import ROOT
 
-BINARY = os.path.join(ROOT, os.environ.get("CELERYLINE_BUILD", "build"), "celeryline-platform")
+BUILD = os.path.join(ROOT, os.environ.get("CELERYLINE_BUILD", "build"))
+BINARY = os.path.join(BUILD, "celeryline-platform")
 CONTROL_PORT = 8623
 FRONT_PORT = 8624
 READY_PORT = 8622
--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -21,13 +21,15 @@
 class Rig:
     """One run of a scenario."""
 
-    def __init__(self, name, seed, controls=3, tolerance=1, entries=2, runners=4, clients=6):
+    def __init__(self, name, seed, controls=3, tolerance=1, entries=2, runners=4, clients=6,
+                 report_delay=0.0):
         self.random = random.Random(seed)
         self.site = Site(name, seed, controls, entries, tolerance)
         self.ledger = Ledger(self.site.now)
         self.notes = []
         self.provider = Provider(self.site, self.ledger)
         self.runner_count = runners
+        self.report_delay = report_delay
         self.operator = Operator(self.site, self.ledger, seed)
         self.reader = ConfigReader(self.site, self.ledger, seed + 1)
         self.clients = [Client(self.site, self.ledger, 1000 * seed + i) for i in range(clients)]
@@ -44,7 +46,8 @@
         if not self.operator.apply(lambda: self.site.now() > deadline):
             raise TimeoutError(f"no configuration was accepted within {FIRST_CONFIG_TIMEOUT} s")
         for i in range(self.runner_count):
-            self.provider.add_runner(SERVICES[i % len(SERVICES)], slow_clock=0.02 if i == 0 else 0.0)
+            self.provider.add_runner(SERVICES[i % len(SERVICES)], slow_clock=0.02 if i == 0 else 0.0,
+                                     report_delay=self.report_delay)
         for caller in [self.operator, self.reader, *self.clients]:
             caller.start()
         self.submit_long_job(LONG_JOB, SERVICES[0])
@@ -155,8 +158,7 @@
         told = ", ".join(f"{a:.1f} to {b:.1f}" for a, b in spans if b - a > 1)
         self.notes.append(f"without a leader for {sum(b - a for a, b in spans):.1f} s in {len(spans)} spans"
                           + (f"; longer than 1 s: {told}" if told else ""))
-        gap = max(self.reader.longest_gap, self.site.now() - self.reader.last_read)
-        self.notes.append(f"longest time without a read of the configuration: {gap:.1f} s")
+        self.notes.append(f"longest time without a read of the configuration: {self.reader.longest_gap:.1f} s")
         self.notes.append(", ".join(f"{what} {count}" for what, count in sorted(self.ledger.counts.items())))
 
     def close(self):
--- a/test/platform_rig/runners.py
+++ b/test/platform_rig/runners.py
@@ -108,9 +108,9 @@
             running.append([task, run.number, "", done, run.cpu])
         return {
             "service": self.service, "addr": f"127.0.0.1:{1024 + zlib.crc32(self.name.encode()) % 30000}",
-            "zone": "milano-a", "machine": self.machine, "version": "v1", "slots": 8, "cold_left_ms": 0, "born": self.born,
-            "state": "draining" if self.is_draining else "ready", "capacity": CAPACITY, "labels": ["a", "r1"],
-            "wall_clock_ms": int(time.time() * 1000), "seq": self.sequence, "running": running,
+            "zone": "milano-a", "machine": self.machine, "version": "v1", "slots": 8, "cold_left_ms": 0,
+            "born": self.born, "state": "draining" if self.is_draining else "ready", "capacity": CAPACITY,
+            "labels": ["a", "r1"], "wall_clock_ms": int(time.time() * 1000), "seq": self.sequence, "running": running,
             "ended": [[n, task, number, how, ""] for n, task, number, how, _ in self.ended[:REPORTED_ENDS]],
         }
 
--- a/test/platform_rig/scenarios.py
+++ b/test/platform_rig/scenarios.py
@@ -6,6 +6,7 @@
 
 from platform_rig import faults
 from platform_rig.faults import MARGIN, choose_slot, wait_for_room
+from platform_rig.handovers import HANDOVER_SCENARIOS, HANDOVER_SIZES
 from platform_rig.rig import Rig
 
 REPLACEMENTS = 3
@@ -123,8 +124,10 @@
 
 
 SCENARIOS = [replacement_series, replacement_series_silent, replacement_series_kill_all, replacement_series_planned,
-             replacement_series_paused, replacement_series_silent_paused, mixed, mixed_four, mixed_eight]
-SIZES = {"mixed_four": {"controls": 4}, "mixed_eight": {"controls": 8, "tolerance": 2, "entries": 3}}
+             replacement_series_paused, replacement_series_silent_paused, mixed, mixed_four, mixed_eight,
+             *HANDOVER_SCENARIOS]
+SIZES = {"mixed_four": {"controls": 4}, "mixed_eight": {"controls": 8, "tolerance": 2, "entries": 3},
+         **HANDOVER_SIZES}
 
 
 def run(function, seed):
--- a/test/platform_rig/sites.py
+++ b/test/platform_rig/sites.py
@@ -1,4 +1,5 @@
 """A site: its machines, their settings as the platform writes them, and which machines count as lost."""
+import itertools
 import json
 import os
 import random
@@ -6,8 +7,8 @@
 import threading
 import time
 
-from platform_rig.calls import ROOT, call
-from platform_rig.machines import FIRST_RPC_PORT, LAST_RPC_PORT, METRICS_PORT, READY_PORT, Machine
+from platform_rig.calls import call
+from platform_rig.machines import BUILD, CONTROL_PORT, FIRST_RPC_PORT, LAST_RPC_PORT, METRICS_PORT, READY_PORT, Machine
 
 ZONES = ("milano-a", "torino-b", "verona-c", "trento-d")
 SEED_COUNT = 3
@@ -31,6 +32,8 @@
     "visible_ms": 3000, "finish_s": FINISH, "status_s": 120, "move_s": 1.5, "upkeep_s": 2,
     "enforce_fencing": False, "lease_ms": int(MACHINE_LEASE * 1000), "pace_ms": 100, "harm_ms": 4000,
 }
+# Runs at the same time, and those after each other, use different addresses 127.BLOCK.x.y.
+address_blocks = (16 + (os.getpid() + 37 * i) % 224 for i in itertools.count())
 
 
 class Site:
@@ -39,10 +42,10 @@
     def __init__(self, name, seed, controls=3, entries=2, tolerance=1):
         self.random = random.Random(seed)
         self.tolerance = tolerance
-        self.run_dir = os.path.join(ROOT, "build", "platform-faults", f"{name}-{seed}")
+        self.run_dir = os.path.join(BUILD, "platform-faults", f"{name}-{seed}")
         shutil.rmtree(self.run_dir, ignore_errors=True)
         os.makedirs(self.run_dir)
-        self.block = 16 + os.getpid() % 224  # Runs at the same time use different addresses.
+        self.block = next(address_blocks)
         self.started_at = time.monotonic()
         self.lock = threading.Lock()
         self.next_host = 1
@@ -50,6 +53,7 @@
         self.control_history = []
         self.away_since = {}
         self.back_at = {}
+        self.foreign_seeds = []
         self.provider_address = self._address(250)
         self.slots = [self._add_machine("control", i) for i in range(controls)]
         self.entries = [self._add_machine("entry", i) for i in range(entries)]
@@ -61,6 +65,12 @@
     def _address(self, host):
         return f"127.{self.block}.1.{host}:8621"
 
+    def add_foreign_seed(self):
+        """Names one more seed at the first start, at which no process of the site runs; returns its IP address."""
+        ip = f"127.{self.block}.1.251"
+        self.foreign_seeds.append(f"{ip}:{CONTROL_PORT}")
+        return ip
+
     def _add_machine(self, role, position):
         zone = ZONES[position % len(ZONES)]
         ip = f"127.{self.block}.{position + 1}.{self.next_host}"
@@ -90,7 +100,7 @@
 
     def start(self):
         """Starts all machines for the first time."""
-        seeds = [machine.control for machine in self.slots[:SEED_COUNT]]
+        seeds = [machine.control for machine in self.slots[:SEED_COUNT]] + self.foreign_seeds
         self._note_controls()
         for machine in self.slots + self.entries:
             self._write_settings(machine, seeds, is_first_start=True)
