--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -226,6 +226,8 @@
     void pruneStaleState();
     /// Drops what onCommitted() recorded and is no longer needed, while another instance leads.
     void followCommits();
+    /// @return whether an incarnation with active runs has left or hasn't reported for too long.
+    bool isUnheard(const RunnerIncarnation& incarnation) const;
     bool mustNoteSilence(
         const RunnerIncarnation& incarnation, const RunnerAllocation& allocation, Millis leaseLeft) const;
     void noteSilences();
@@ -257,7 +259,8 @@
     std::set<RunnerIncarnation> m_pendingSilences; ///< Proposed and uncommitted silences.
     /// Steady time at which this replica applied the newest silence of each incarnation. Kept across terms.
     std::map<RunnerIncarnation, Millis> m_silenceAppliedAt;
-    Millis m_snapshotAppliedAt; ///< When a snapshot last replaced the state.
+    Millis
+        m_snapshotAppliedAt; ///< When a snapshot last replaced the state; at first the start of the process.
     std::set<RunName> m_overdue; ///< Runs that are being replaced because they are stalled or slow.
     RunnerTrust m_trust;
     PlacementHints m_hints;
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -153,8 +153,7 @@
     std::map<std::string, Machine> m_machines;
     std::set<MachineKind> m_kinds; ///< Kinds of all machines listed in this term.
     std::map<std::string, Operation> m_operations; ///< By machine.
-    std::optional<Millis>
-        m_listedAt; ///< Steady time of the last list of this term; nothing before the first.
+    std::optional<Millis> m_listedAt; ///< Steady time of the last list of this term.
     /// Machines with an operation or in a wave that the provider doesn't list: time of the first list without
     /// them.
     std::map<std::string, Millis> m_absentSince;
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -27,6 +27,7 @@
     , m_log(log)
     , m_clock(std::move(clock))
     , m_runners(std::max(options.runLease, options.runLeaseWhenLagging))
+    , m_snapshotAppliedAt(m_clock().steady)
 {
 }
 
--- a/src/jobs/JobMasterSilence.cpp
+++ b/src/jobs/JobMasterSilence.cpp
@@ -35,14 +35,19 @@
     m_hints.failedOn.clear();
 }
 
+bool JobMaster::isUnheard(const RunnerIncarnation& incarnation) const
+{
+    const auto* state = m_runners.find(incarnation);
+    if (state == nullptr)
+        return m_clock().steady >= m_runners.resetAt() + m_options.firstReportTimeout + m_lag;
+    bool isGone = state->hasLeft && state->lastReportAt <= state->leftAt;
+    return isGone || isSilent(*state);
+}
+
 bool JobMaster::mustNoteSilence(
     const RunnerIncarnation& incarnation, const RunnerAllocation& allocation, Millis leaseLeft) const
 {
-    const auto* state = m_runners.find(incarnation);
-    auto isHeard = state != nullptr
-        ? !isSilent(*state) && (!state->hasLeft || state->lastReportAt > state->leftAt)
-        : m_clock().steady < m_runners.resetAt() + m_options.firstReportTimeout + m_lag;
-    if (isHeard || leaseLeft <= Millis {})
+    if (leaseLeft <= Millis {} || !isUnheard(incarnation))
         return false;
     return !allocation.silentLeaseLeft || leaseLeft + silenceNoteStep <= *allocation.silentLeaseLeft;
 }
--- a/test/ProgressSimulation.cpp
+++ b/test/ProgressSimulation.cpp
@@ -5,6 +5,8 @@
 namespace {
 
 constexpr std::int64_t retryMs = 100;
+constexpr std::int64_t shortestTermMs
+    = 1000; ///< Leaders that last less are not expected to get anything done.
 constexpr int instances = 2;
 
 } // namespace
@@ -68,6 +70,7 @@
     m_now += stepMs;
     if (m_leading < 0 && m_now >= m_electionAt) {
         ++m_term;
+        m_termStart = m_now;
         m_leading = static_cast<int>(below(instances));
         leading()->master.startTerm();
         leading()->machines.startTerm();
@@ -129,6 +132,9 @@
     auto* leader = leading();
     if (leader == nullptr)
         return;
+    // A leader that is gone at once can't note that a runner is silent.
+    if (m_now < m_termStart + shortestTermMs)
+        m_lostSince.clear();
     m_leading = -1;
     leader->loseLeadership();
     m_electionAt = m_now + forMs;
--- a/test/ProgressSimulation.h
+++ b/test/ProgressSimulation.h
@@ -129,6 +129,7 @@
     int m_leading = -1; ///< -1 while there is no leader.
     std::uint64_t m_term = 1;
     std::int64_t m_electionAt = 0;
+    std::int64_t m_termStart = 0;
     std::vector<Machine> m_machines;
     std::map<std::string, std::unique_ptr<Runner>> m_runners; ///< By id.
     std::int64_t m_lastFault = 0;
