Accept a restarted runner whose clock was set back

A report with an earlier start than that of the known incarnation is taken for a late one and gets no lease and no tasks. Start times are wall times: a runner that restarts under its id after its clock was set back stayed unused until the earlier incarnation was forgotten, 60 s after its last report. Now that lasts until the earlier lease has certainly ended and the time for which reports may be late has passed, 9.2 s after the last report. Until then nothing changes, so that a late report ends no run.

Before: the new test of RunnerTable has the report refused after that time. After: refused a millisecond before, accepted then.

--- a/src/jobs/RunnerTable.cpp
+++ b/src/jobs/RunnerTable.cpp
@@ -12,7 +12,7 @@
 constexpr Millis leaseSafetyMargin { 100 };
 /// Time after which a runner that announced its shutdown has certainly stopped its runs.
 constexpr Millis departureGrace { 1000 };
-/// Reports that a runner sent before it left arrive within this time.
+/// Reports that a runner sent before it left or lost its lease arrive within this time.
 constexpr Millis maxReportDelay { 5000 };
 /// Time without a report after which a runner is removed; ids are rarely reused.
 constexpr Millis silentRunnerRetention { 60000 };
@@ -49,7 +49,9 @@
 {
     auto& state = m_runners[report.incarnation.runner];
     bool isKnown = !state.report.incarnation.runner.empty();
-    if (isKnown && report.incarnation.startTime < state.report.incarnation.startTime)
+    // Start times are wall times, and a clock may have been set back before the runner restarted.
+    bool mayBeAlive = now < state.leaseExpiry + maxReportDelay;
+    if (isKnown && mayBeAlive && report.incarnation.startTime < state.report.incarnation.startTime)
         return nullptr;
     if (isKnown && report.incarnation == state.report.incarnation && report.sequence <= state.report.sequence)
         return nullptr;
--- a/test/RunnerTableTest.cpp
+++ b/test/RunnerTableTest.cpp
@@ -26,6 +26,20 @@
     REQUIRE(table.find({ "r", { 11 } }) != nullptr);
 }
 
+// Guards against a runner that stays unused for a minute, because the clock of its machine was set back
+// before it restarted. Reports of the known incarnation may be late, so it must have been silent for that
+// long too.
+TEST_CASE("An earlier start time is accepted once the known incarnation has certainly ended", "[runners]")
+{
+    RunnerTable table(lease);
+    table.reset({ 0 });
+    table.accept(makeReport("r", 5, 10), lease, { 1000 });
+    constexpr std::int64_t ended = 1000 + 4180 + 5000;
+    REQUIRE(table.accept(makeReport("r", 1, 7), lease, { ended - 1 }) == nullptr);
+    REQUIRE(table.accept(makeReport("r", 2, 7), lease, { ended }) != nullptr);
+    REQUIRE(table.leaseExpiry({ "r", { 10 } }).count <= ended);
+}
+
 // Guards against a second run while the first one may still have a lease on a slow clock.
 TEST_CASE("An incarnation has expired only when its lease must have expired", "[runners]")
 {
