--- a/src/control/VoterLog.cpp
+++ b/src/control/VoterLog.cpp
@@ -13,8 +13,8 @@
 /// Under load, a learner may be a few entries short of ready again and again.
 constexpr Millis minLearnerLineInterval { 5000 };
 constexpr Millis replacementLineInterval { 3000 };
-/// A shorter silence needs no replacement: the voter is busy or restarts.
-constexpr Millis minSilenceForReplacementLine { 1000 };
+/// An ordinary replacement is over by then; see VoterReplacement.h.
+constexpr Millis minSilenceForReplacementLine { 1500 };
 
 std::string describeContacts(const std::vector<VoterContact>& voters, Millis age, bool onlyUnreached)
 {
