Check that an ordinary replacement leaves no line about a voter that isn't replaced

An ordinary replacement takes 1 s, and voter-not-replaced comes after 1.5 s of silence, so the line always tells of an obstacle.

--- a/test/VoterLogTest.cpp
+++ b/test/VoterLogTest.cpp
@@ -108,6 +108,7 @@
     REQUIRE(logged.linesOf("d", "caught-up").size() == 1);
     REQUIRE(logged.linesOf("d", "became-voter").size() == 1);
     REQUIRE(logged.linesOf(leader, "learner-ready").size() == 1);
+    REQUIRE(linesNamed(logged.lines, "voter-not-replaced").empty());
 }
 
 // Guards against seconds with a lost voter in which the log doesn't say what its replacement waits for.
