Add series with four and eight control machines, and faults of runners, to the rig

Cause: the incident was shown with three voters only; a mend must hold with a learner beside them and with five voters. The mixed series left the runners alone, and a configuration was checked only at control processes while faults went on.

Change: replacement_series_four and replacement_series_eight (leaders and followers, two lost at a time). The mixed series also restart runners under their ids and let runners leave; a start later than drain_ms after the acknowledgement is reported. The reader also uses the newest acknowledged route at the entry processes all the time. The change at the end is sent contact_ms after the last fault, from which the rule on its acknowledgement holds; it also finds a leader that is lost right after the first look at a calm site. Addresses of a run are claimed by a bound socket: two runs at the same time used the same block once ("Address already in use").

--- a/test/platform_rig/callers.py
+++ b/test/platform_rig/callers.py
@@ -4,8 +4,7 @@
 import time
 
 from platform_rig.calls import call
-from platform_rig.machines import FRONT_PORT
-from platform_rig.sites import FINISH
+from platform_rig.sites import APPLY_TIME, FINISH
 
 HOST = "jobs.example"
 SERVICES = ("quotes", "surveys")
@@ -89,7 +88,7 @@
 
 
 class ConfigReader(Caller):
-    """Reads the configuration at any process and compares it with what was acknowledged."""
+    """Reads the configuration and uses its newest route at any process; compares both with what was acknowledged."""
 
     INTERVAL = 0.1
 
@@ -99,6 +98,11 @@
         self.longest_gap = 0.0
 
     def act(self):
+        self._read_document()
+        self._read_newest_route()
+        time.sleep(self.INTERVAL)
+
+    def _read_document(self):
         address = self.random.choice(self.site.listed_controls())
         sent_at = self.site.now()
         answer = call("GET", address, "/config")
@@ -108,7 +112,15 @@
             self.last_read = self.site.now()
         elif answer.status not in (0, 408, 429) and answer.status < 500:
             self.ledger.violation(f"CONFIG: {address} answered a read with {answer.status}")
-        time.sleep(self.INTERVAL)
+
+    def _read_newest_route(self):
+        version = self.ledger.newest_acknowledged(self.site.now() - APPLY_TIME)
+        entries = self.site.running_entries()
+        if version and entries:
+            address = self.random.choice(entries).front
+            answer = call("GET", address, f"/added-{version}/", None, {"Host": HOST})
+            if answer.status == 404:
+                self.ledger.violation(f"CONFIG: {address} doesn't know the route that version {version} added")
 
     def stop(self):
         self.longest_gap = max(self.longest_gap, self.site.now() - self.last_read)
@@ -149,7 +161,7 @@
 
     def send(self, method, service, job, body=None):
         entries = self.site.running_entries() or self.site.entries
-        address = self.random.choice(entries).address(FRONT_PORT)
+        address = self.random.choice(entries).front
         headers = {"Host": HOST, "Timeout-Ms": str(CLIENT_TIMEOUT_MS)}
         return call(method, address, f"/{service}/{job}", body, headers, timeout=CLIENT_TIMEOUT_MS / 1000)
 
--- a/test/platform_rig/handovers.py
+++ b/test/platform_rig/handovers.py
@@ -7,7 +7,7 @@
 
 from platform_rig import faults
 from platform_rig.calls import call
-from platform_rig.callers import HOST, SERVICES, Client
+from platform_rig.callers import SERVICES, Client
 from platform_rig.faults import MARGIN, wait_for_room
 from platform_rig.machines import FRONT_PORT
 from platform_rig.malformed import Recorder, attack, http_message, peak_megabytes
--- a/test/platform_rig/provider.py
+++ b/test/platform_rig/provider.py
@@ -2,6 +2,7 @@
 import json
 import threading
 import time
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from platform_rig.calls import call
@@ -9,6 +10,10 @@
 from platform_rig.sites import BOUNDS, MACHINE_LEASE
 
 
+# The states of a machine here, and those that the list of machines has for them.
+STATES = {"up": "up", "leaving": "up", "moving": "moving", "upkeep": "upkeep"}
+
+
 class ProviderServer(ThreadingHTTPServer):
     """A server whose callers may be killed at any time."""
     daemon_threads = True
@@ -17,6 +22,14 @@
         pass  # A killed caller resets its connection.
 
 
+@dataclass(frozen=True)
+class MachineOrder:
+    """Who ordered something for a machine, and when."""
+    at: float
+    holder: str
+    fence: int
+
+
 class Provider:
     """Holds the runners; a move or an upkeep ends one and starts its next life."""
 
@@ -28,7 +41,7 @@
         self.states = {}
         self.waves = {}  # Machine to the waves for which its upkeep has begun.
         self.wave_limits = {}
-        self.orders = {}  # Machine to the second, holder and fence of its newest order.
+        self.orders = {}  # Machine to its newest order.
         self.lives = 0
         host, port = site.provider_address.split(":")
         self.server = ProviderServer((host, int(port)), self._handler_class())
@@ -44,7 +57,7 @@
 
     def list_machines(self):
         with self.lock:
-            return [{"machine": name, "pool": runner.service, "state": self.states[name], "zone": "milano-a",
+            return [{"machine": name, "pool": runner.service, "state": STATES[self.states[name]], "zone": "milano-a",
                      "labels": ["a", "r1"], "capacity": CAPACITY, "id": runner.name}
                     for name, runner in self.runners.items()]
 
@@ -76,14 +89,14 @@
     def _check_holder(self, name, holder, fence):
         now = self.site.now()
         if name in self.orders:
-            at, last_holder, last_fence = self.orders[name]
-            if fence < last_fence:
-                self.ledger.violation(f"ONE: {holder} orders {name} with fence {fence} after {last_fence}")
-            elif fence == last_fence and holder != last_holder:
-                self.ledger.violation(f"ONE: {holder} and {last_holder} order {name} with fence {fence}")
-            elif holder != last_holder and now - at < MACHINE_LEASE:
-                self.ledger.violation(f"ONE: {holder} orders {name} {now - at:.2f} s after {last_holder}")
-        self.orders[name] = (now, holder, fence)
+            last = self.orders[name]
+            if fence < last.fence:
+                self.ledger.violation(f"ONE: {holder} orders {name} with fence {fence} after {last.fence}")
+            elif fence == last.fence and holder != last.holder:
+                self.ledger.violation(f"ONE: {holder} and {last.holder} order {name} with fence {fence}")
+            elif holder != last.holder and now - last.at < MACHINE_LEASE:
+                self.ledger.violation(f"ONE: {holder} orders {name} {now - last.at:.2f} s after {last.holder}")
+        self.orders[name] = MachineOrder(now, holder, fence)
 
     def _check_wave_limit(self, wave):
         down = sum(self.states[m] == "upkeep" and waves[-1] == wave for m, waves in self.waves.items())
@@ -116,6 +129,25 @@
             self.runners[machine] = Runner(self.site, self.ledger, old.name, old.service, machine=machine)
             return old.name, old.last_body
 
+    def restart_runner(self, random):
+        """Ends a runner without a word and starts it again under its id."""
+        self.replace_life(random.choice(self._machines_up()))
+
+    def drain_runner(self, random):
+        """Lets a runner leave; its machine starts a runner with another id afterwards."""
+        machine = random.choice(self._machines_up())
+        self.states[machine] = "leaving"
+        threading.Thread(target=self._drain, args=(machine,), daemon=True).start()
+
+    def _drain(self, machine):
+        runner = self.runners[machine]
+        runner.leave()
+        self._start_next_life(machine, runner.service)
+
+    def _machines_up(self):
+        with self.lock:
+            return [machine for machine, state in self.states.items() if state == "up"]
+
     def _start_next_life(self, machine, service):
         with self.lock:
             if self.server is None:
--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -9,7 +9,7 @@
 from platform_rig.ledger import Ledger
 from platform_rig.machines import FRONT_PORT
 from platform_rig.provider import Provider
-from platform_rig.sites import ACK_TIMEOUT, APPLY_TIME, FINISH, RECOVERY, Site, says_it_leads
+from platform_rig.sites import ACK_TIMEOUT, APPLY_TIME, CONTACT, FINISH, RECOVERY, Site, says_it_leads
 from platform_rig.watch import Watch, read_events
 
 FIRST_CONFIG_TIMEOUT = 20.0  # Seconds, with the machines' start.
@@ -89,7 +89,7 @@
         self.operator.stop()
         if self._check_config() and self._check_new_config():
             self.wait(lambda: self.ledger.live_runs(LONG_JOB) == LONG_JOB_TASKS, FINISH,
-                       "LOST: the tasks of the long-running job are at work")
+                      "LOST: the tasks of the long-running job are at work")
         else:
             self._diagnose()
         for caller in [self.reader, *self.clients]:
@@ -110,18 +110,20 @@
         controls = self.site.running_controls()
         start = self.site.now()
         reached = self.wait(lambda: all(self._reads_newest(m) for m in controls), RECOVERY,
-                             "CONFIG: every control process answers with the newest acknowledged version")
+                            "CONFIG: every control process answers with the newest acknowledged version")
         self.note(f"calm; the newest version was read everywhere after {self.site.now() - start:.2f} s: {reached}")
         return reached
 
     def _check_new_config(self):
+        self.operator.thread.join()
+        time.sleep(CONTACT)
         deadline = self.site.now() + ACK_TIMEOUT
         version = self.operator.apply(lambda: self.site.now() > deadline)
         if not version:
             self.ledger.violation(f"CONFIG: no new version was acknowledged within {ACK_TIMEOUT} s in calm")
             return False
         return self.wait(lambda: all(self._serves_route(m, version) for m in self.site.running_entries()),
-                          APPLY_TIME, f"CONFIG: every entry process serves the route of version {version}")
+                         APPLY_TIME, f"CONFIG: every entry process serves the route of version {version}")
 
     def _serves_route(self, machine, version):
         headers = {"Host": HOST}
--- a/test/platform_rig/runners.py
+++ b/test/platform_rig/runners.py
@@ -5,13 +5,15 @@
 from dataclasses import dataclass
 
 from platform_rig.calls import CALL_TIMEOUT, call
-from platform_rig.sites import MAX_LEASE, STOP_TIME
+from platform_rig.sites import DRAIN_TIME, MAX_LEASE, STOP_TIME
 
 TICK = 0.01  # Seconds between looks at the clocks of the runs.
 DELAY_AFTER_END = 0.05  # Seconds after an end until the next heartbeat.
 RETRY_DELAY = 0.1  # Seconds after a heartbeat without an answer.
 DEFAULT_INTERVAL = 1.5  # Seconds between heartbeats unless an answer says otherwise.
 REPORTED_ENDS = 500
+DRAIN_MARGIN = 1.0  # Seconds for which a runner that leaves works on after the time to drain.
+LEAVE_TIMEOUT = 10.0  # Seconds after which a runner ends even if nobody acknowledged that it leaves.
 CAPACITY = {"cpu": 4000, "mem_mb": 8192, "gpu": 0}
 
 
@@ -26,6 +28,16 @@
     stops_at: float = 0.0
 
 
+@dataclass(frozen=True)
+class End:
+    """The end of a run, reported until it is acknowledged. A run that was refused has no record."""
+    number: int
+    task: str
+    run: int
+    outcome: str
+    record: object
+
+
 def work_seconds(text):
     """Returns the duration that a task's text of the form "work MILLISECONDS" asks for; 0 means without end."""
     return int(text.split()[1]) / 1000
@@ -53,6 +65,7 @@
         self.end_count = 0
         self.next_heartbeat = 0.0
         self.is_draining = False
+        self.drain_noted_at = None  # The second in which a heartbeat that said so was acknowledged.
         self.is_up = True
         self.address = ""
         self.last_body = {}
@@ -96,7 +109,7 @@
     def _note_end(self, task, number, outcome, record):
         self.end_count += 1
         self.highest[task] = max(number, self.highest.get(task, 0))
-        self.ended.append((self.end_count, task, number, outcome, record))
+        self.ended.append(End(self.end_count, task, number, outcome, record))
         self.next_heartbeat = min(self.next_heartbeat, self.site.now() + DELAY_AFTER_END)
 
     def _report(self):
@@ -111,7 +124,7 @@
             "zone": "milano-a", "machine": self.machine, "version": "v1", "slots": 8, "cold_left_ms": 0,
             "born": self.born, "state": "draining" if self.is_draining else "ready", "capacity": CAPACITY,
             "labels": ["a", "r1"], "wall_clock_ms": int(time.time() * 1000), "seq": self.sequence, "running": running,
-            "ended": [[n, task, number, how, ""] for n, task, number, how, _ in self.ended[:REPORTED_ENDS]],
+            "ended": [[end.number, end.task, end.run, end.outcome, ""] for end in self.ended[:REPORTED_ENDS]],
         }
 
     def _beat(self):
@@ -129,6 +142,8 @@
                 self.next_heartbeat = self.site.now() + RETRY_DELAY
                 return
             self._advance()
+            if body["state"] == "draining" and self.drain_noted_at is None:
+                self.drain_noted_at = self.site.now()
             self._obey(answer.fields(), sent_at)
 
     def _obey(self, orders, sent_at):
@@ -151,10 +166,10 @@
         self.next_heartbeat += self.report_delay
 
     def _forget_ends(self, cursor):
-        for number, _, _, _, record in self.ended:
-            if number <= cursor and record is not None:
-                record.is_end_acknowledged = True
-        self.ended = [end for end in self.ended if end[0] > cursor]
+        for end in self.ended:
+            if end.number <= cursor and end.record is not None:
+                end.record.is_end_acknowledged = True
+        self.ended = [end for end in self.ended if end.number > cursor]
 
     def _stop(self, task, number):
         run = self.active.get(task)
@@ -175,6 +190,9 @@
             self.ledger.count("starts without room")
             self._note_end(task, number, "refused", None)
             return
+        if self.drain_noted_at is not None and now > self.drain_noted_at + DRAIN_TIME:
+            self.ledger.violation(f"DRAIN: {self.name} is to start {task} {now - self.drain_noted_at:.1f} s after it "
+                                  "said that it leaves")
         record = self.ledger.on_start(self.name, task, number, text)
         self.ledger.count("starts")
         work = work_seconds(text)
@@ -185,8 +203,15 @@
         return job.steps[int(task.split(".")[2])]["cpu"] if job else 0
 
     def leave(self):
-        """Says that it leaves, then ends."""
-        self.is_draining = True
-        time.sleep(2 * DEFAULT_INTERVAL)
+        """Reports that it drains, works on for the time that this takes, and ends."""
+        with self.lock:
+            self.is_draining = True
+            self.next_heartbeat = 0.0
+        deadline = self.site.now() + LEAVE_TIMEOUT
+        while self.is_up and not self._may_leave() and self.site.now() < deadline:
+            time.sleep(TICK)
         call("DELETE", self.site.random.choice(self.site.listed_controls()), f"/instances/{self.name}")
         self.kill()
+
+    def _may_leave(self):
+        return self.drain_noted_at is not None and self.site.now() > self.drain_noted_at + DRAIN_TIME + DRAIN_MARGIN
--- a/test/platform_rig/scenarios.py
+++ b/test/platform_rig/scenarios.py
@@ -7,13 +7,15 @@
 from platform_rig import faults
 from platform_rig.faults import MARGIN, choose_slot, wait_for_room
 from platform_rig.handovers import HANDOVER_SCENARIOS, HANDOVER_SIZES
+from platform_rig.provider import Provider
 from platform_rig.rig import Rig
 
 REPLACEMENTS = 3
-MIXED_FAULTS = 8
+MIXED_FAULTS = 10
+RUNNER_KINDS = [Provider.restart_runner, Provider.drain_runner]
 MIXED_KINDS = [faults.replace_killed] * 3 + [faults.replace_silent] * 3 + [faults.replace_planned] + [
     faults.kill_and_restart, faults.kill_and_restart, faults.pause, faults.pause, faults.lose_disk, faults.lose_disk,
-    faults.terminate_and_restart, faults.kill_all, faults.restart_entry, faults.pause_entry]
+    faults.terminate_and_restart, faults.kill_all, faults.restart_entry, faults.pause_entry, *RUNNER_KINDS]
 SECONDS_OF = {faults.kill_and_restart: (0.3, 4), faults.pause: (0.5, 6), faults.lose_disk: (0.3, 2),
               faults.terminate_and_restart: (0.3, 1)}
 PAUSE_FOR_VOTERS = 10.5  # Seconds; more than the 8 s after which a voter is replaced, counted from an election.
@@ -59,6 +61,20 @@
     rig.finish()
 
 
+def replacement_series_four(rig):
+    """The same as replacement_series with four control machines, one of which may be lost."""
+    replacement_series(rig)
+
+
+def replacement_series_eight(rig):
+    """The same with eight control machines, two of which may be lost: leaders and followers overlap."""
+    rig.start()
+    threads = [cause_beside(rig, faults.replace_killed, wants_leader=number % 2 == 0)
+               for number in range(2 * REPLACEMENTS)]
+    join_all(threads)
+    rig.finish()
+
+
 def replacement_series_paused(rig):
     """The same as replacement_series with more than 10 s more between two removals."""
     rig.start()
@@ -81,19 +97,22 @@
         if kind == faults.kill_all:
             join_all(threads)
             rig.kill_all()
+        elif kind in RUNNER_KINDS:
+            rig.note(kind.__name__)
+            kind(rig.provider, rig.random)
         elif kind in (faults.restart_entry, faults.pause_entry):
             rig.cause_at_entry(kind, rig.random.uniform(0.2, 2))
         else:
-            threads.append(cause_beside(rig, kind))
+            threads.append(cause_beside(rig, kind, wants_leader=rig.random.random() < 0.5))
         time.sleep(rig.random.choice([0, 0.1, 1, 3]))
     join_all(threads)
 
 
-def cause_beside(rig, kind):
+def cause_beside(rig, kind, wants_leader):
     """Causes a fault at a control machine in a thread of its own, as soon as one more may be lost."""
     wait_for_room(rig.site)
     time.sleep(MARGIN)
-    slot = choose_slot(rig.site, rig.random, wants_leader=rig.random.random() < 0.5)
+    slot = choose_slot(rig.site, rig.random, wants_leader)
     seconds = rig.random.uniform(*SECONDS_OF.get(kind, (faults.SUCCESSOR_DELAY, faults.SUCCESSOR_DELAY)))
     rig.site.begin_outage(slot)
     thread = threading.Thread(target=rig.cause, args=(kind, slot, seconds), daemon=True)
@@ -124,9 +143,11 @@
 
 
 SCENARIOS = [replacement_series, replacement_series_silent, replacement_series_kill_all, replacement_series_planned,
-             replacement_series_paused, replacement_series_silent_paused, mixed, mixed_four, mixed_eight,
-             *HANDOVER_SCENARIOS]
-SIZES = {"mixed_four": {"controls": 4}, "mixed_eight": {"controls": 8, "tolerance": 2, "entries": 3},
+             replacement_series_four, replacement_series_eight, replacement_series_paused,
+             replacement_series_silent_paused, mixed, mixed_four, mixed_eight, *HANDOVER_SCENARIOS]
+FOUR = {"controls": 4}
+EIGHT = {"controls": 8, "tolerance": 2, "entries": 3}
+SIZES = {"replacement_series_four": FOUR, "mixed_four": FOUR, "replacement_series_eight": EIGHT, "mixed_eight": EIGHT,
          **HANDOVER_SIZES}
 
 
--- a/test/platform_rig/sites.py
+++ b/test/platform_rig/sites.py
@@ -4,6 +4,7 @@
 import os
 import random
 import shutil
+import socket
 import threading
 import time
 
@@ -19,21 +20,38 @@
 RECOVERY = 12.0  # Seconds after which a calm site serves again.
 FINISH = 14.0  # Seconds after the end of the traffic in which jobs complete.
 CANCEL_TIME = 3.0  # Seconds after the acknowledged cancellation of a job without a further start.
+CONTACT = 3.0  # Seconds after the last fault from which the rules on calm sites hold.
 ACK_TIMEOUT = 4.0  # Seconds in which a calm site acknowledges a configuration.
+DRAIN_TIME = 2.0  # Seconds after the acknowledgement from which a runner that leaves gets no task.
 STOP_TIME = 0.4  # Seconds that stopping a task takes at most.
 MAX_LEASE = 10.0  # Seconds to which runners shorten their leases.
 MACHINE_LEASE = 3.0  # Seconds before the orders of another holder are obeyed for a machine.
 
 BOUNDS = {
-    "seed_lag_s": SEED_LAG, "addr_reuse_s": 2, "contact_ms": 3000, "ack_timeout_ms": int(ACK_TIMEOUT * 1000),
-    "catchup_s": CATCH_UP, "drain_ms": 2000, "grace_s": GRACE, "loss_slack_ms": 200,
+    "seed_lag_s": SEED_LAG, "addr_reuse_s": 2, "contact_ms": int(CONTACT * 1000), "ack_timeout_ms": int(ACK_TIMEOUT * 1000),
+    "catchup_s": CATCH_UP, "drain_ms": int(DRAIN_TIME * 1000), "grace_s": GRACE, "loss_slack_ms": 200,
     "config_apply_ms": int(APPLY_TIME * 1000), "recovery_s": RECOVERY, "max_hold_ms": int(MAX_LEASE * 1000),
     "stop_ms": int(STOP_TIME * 1000), "gang_timeout_ms": 3000, "cancel_ms": int(CANCEL_TIME * 1000),
     "visible_ms": 3000, "finish_s": FINISH, "status_s": 120, "move_s": 1.5, "upkeep_s": 2,
     "enforce_fencing": False, "lease_ms": int(MACHINE_LEASE * 1000), "pace_ms": 100, "harm_ms": 4000,
 }
-# Runs at the same time, and those after each other, use different addresses 127.BLOCK.x.y.
-address_blocks = (16 + (os.getpid() + 37 * i) % 224 for i in itertools.count())
+BLOCKS = range(16, 240)  # Second numbers of the addresses 127.BLOCK.x.y.
+LOCK_PORT = 8620
+first_blocks = itertools.count(os.getpid())
+
+
+def claim_block():
+    """Returns a block of addresses that no other run uses, and the socket that claims it."""
+    first = next(first_blocks)  # The addresses of the last run may still have connections.
+    for i in range(len(BLOCKS)):
+        block = BLOCKS[(first + i) % len(BLOCKS)]
+        claim = socket.socket()
+        try:
+            claim.bind((f"127.{block}.1.249", LOCK_PORT))
+            return block, claim
+        except OSError:
+            claim.close()
+    raise RuntimeError("all blocks of loopback addresses are in use")
 
 
 class Site:
@@ -45,7 +63,7 @@
         self.run_dir = os.path.join(BUILD, "platform-faults", f"{name}-{seed}")
         shutil.rmtree(self.run_dir, ignore_errors=True)
         os.makedirs(self.run_dir)
-        self.block = next(address_blocks)
+        self.block, self.claim = claim_block()
         self.started_at = time.monotonic()
         self.lock = threading.Lock()
         self.next_host = 1
@@ -167,6 +185,7 @@
     def close(self):
         for machine in self.all_machines:
             machine.close()
+        self.claim.close()
 
 
 def says_it_leads(machine):
