Report errors of the rig's fault threads, and end its processes after any error

Cause: an exception in the thread of a fault ended that thread only, so that a run could hold although a fault had not taken place. An error while the stand-ins of a run were closed would have left its processes running.

Change: an error in the thread of a fault fails the run with its name. The processes of a site end after any error of the stand-ins. A fault of a runner is left out while no runner is up, instead of failing.

--- a/test/platform_rig/provider.py
+++ b/test/platform_rig/provider.py
@@ -131,11 +131,16 @@
 
     def restart_runner(self, random):
         """Ends a runner without a word and starts it again under its id."""
-        self.replace_life(random.choice(self._machines_up()))
+        machines = self._machines_up()
+        if machines:
+            self.replace_life(random.choice(machines))
 
     def drain_runner(self, random):
         """Lets a runner leave; its machine starts a runner with another id afterwards."""
-        machine = random.choice(self._machines_up())
+        machines = self._machines_up()
+        if not machines:
+            return
+        machine = random.choice(machines)
         self.states[machine] = "leaving"
         threading.Thread(target=self._drain, args=(machine,), daemon=True).start()
 
--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -164,10 +164,13 @@
         self.notes.append(", ".join(f"{what} {count}" for what, count in sorted(self.ledger.counts.items())))
 
     def close(self):
-        for caller in [self.operator, self.reader, *self.clients]:
-            caller.stop()
-        if self.watch:
-            self.watch.is_stopping = True
-            self.watch.thread.join()
-        self.provider.close()
-        self.site.close()
+        """Ends all stand-ins and processes, also after an error or an interrupt."""
+        try:
+            for caller in [self.operator, self.reader, *self.clients]:
+                caller.stop()
+            if self.watch:
+                self.watch.is_stopping = True
+                self.watch.thread.join()
+            self.provider.close()
+        finally:
+            self.site.close()
--- a/test/platform_rig/scenarios.py
+++ b/test/platform_rig/scenarios.py
@@ -115,11 +115,19 @@
     slot = choose_slot(rig.site, rig.random, wants_leader)
     seconds = rig.random.uniform(*SECONDS_OF.get(kind, (faults.SUCCESSOR_DELAY, faults.SUCCESSOR_DELAY)))
     rig.site.begin_outage(slot)
-    thread = threading.Thread(target=rig.cause, args=(kind, slot, seconds), daemon=True)
+    thread = threading.Thread(target=cause_and_report, args=(rig, kind, slot, seconds), daemon=True)
     thread.start()
     return thread
 
 
+def cause_and_report(rig, kind, slot, seconds):
+    """Causes a fault; an error of the rig itself fails the run instead of ending a thread silently."""
+    try:
+        rig.cause(kind, slot, seconds)
+    except Exception as error:
+        rig.ledger.violation(f"{kind.__name__}: {type(error).__name__}: {error}")
+
+
 def join_all(threads):
     for thread in threads:
         thread.join()
