Replace a voter that shuts down before it stops

The platform counts a removed machine as lost until its successor has run for 4 s. A voter that got SIGTERM 2 s after the start of its successor stopped 1.5 s later, and the silence until it counts as lost ends after those 4 s.

Cause: only silence told the leader that a voter is gone, although the process knows earlier that it will stop.

Change: a process that gets SIGTERM says so in its introductions, which it sends to all control processes at once. The leader replaces a leaving voter like a lost one, if a learner is ready, and neither promotes nor hands over to a leaving replica. An announcement ends after 5 s or with the next introduction of the same replica, so a process that goes on can vote again.

--- a/include/celeryline/consensus/LogDriver.h
+++ b/include/celeryline/consensus/LogDriver.h
@@ -107,6 +107,8 @@
     void receive(Millis now, const RaftMessage& message);
     bool form(const LogEntry& entry);
     void addPeer(const std::string& name);
+    /// See RaftCore::setLeaving().
+    void setLeaving(Millis now, const ReplicaId& replica, bool isLeaving);
     bool transferLeadership(Millis now);
 
     /// @param now monotonic time, read just before the call.
--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -66,6 +66,11 @@
     /// @param name name of the instance.
     void addPeer(const std::string& name);
 
+    /// Records that another replica is about to stop, or no longer is. As leader, this replica replaces a
+    /// leaving voter like a lost one, and doesn't promote or transfer leadership to a leaving replica. An
+    /// announcement is valid for a limited time.
+    void setLeaving(Millis now, const ReplicaId& replica, bool isLeaving);
+
     /// Transfers leadership to the most up-to-date voter. The leader rejects proposals from then on.
     /// @return whether a voter is available as target.
     bool transferLeadership(Millis now);
@@ -183,6 +188,7 @@
     LearnerReadiness readiness(const detail::ReplicaState& replica) const;
     bool isCaughtUp(const detail::ReplicaState& replica) const;
     Millis lastContact(const ReplicaId& voter) const;
+    bool isLeaving(const ReplicaId& replica) const;
     bool isLost(const ReplicaId& voter) const;
     bool removeReplacedVoter();
     void promoteConfiguredVoter();
@@ -224,6 +230,7 @@
     VoteRefusal m_lastVoteRefusal;
     std::uint64_t m_leaderCommitIndex = 0; ///< Highest commit index that a leader has reported.
 
+    std::map<ReplicaId, Millis> m_leavingUntil; ///< Replicas that announced their shutdown.
     std::map<std::string, detail::ReplicaState> m_replicas; ///< By name; used on the leader only.
     Millis m_leadingSince;
     Millis m_nextHeartbeat;
--- a/include/celeryline/consensus/VoterReplacement.h
+++ b/include/celeryline/consensus/VoterReplacement.h
@@ -10,6 +10,10 @@
 /// Time that a learner needs to catch up and that the two configuration changes of a replacement need.
 inline constexpr Millis catchUpAllowance { 1000 };
 
+/// Validity of the announcement of a shutdown. A process that stops doesn't reply for longer by then; one
+/// that goes on, or whose restart was not heard of, can be promoted again.
+inline constexpr Millis leavingTimeout { 5000 };
+
 /// The timeout is short because a lost voter that is still in the set uses up the tolerated losses. A voter
 /// that was only cut off or frozen for longer becomes a learner and can be promoted again.
 /// @param electionTimeout minimum election timeout.
--- a/include/celeryline/consensus/VoterSetStatus.h
+++ b/include/celeryline/consensus/VoterSetStatus.h
@@ -18,6 +18,7 @@
     None, ///< This replica has not changed the voter set.
     DiskReplaced, ///< A voter returned with a new storage id, so its votes are lost.
     VoterLost, ///< A learner was added in place of a voter without contact.
+    VoterLeaving, ///< A learner was added in place of a voter that announced its shutdown.
     LostVoterRemoved, ///< There were too many voters, and one of them had no contact.
     TooManyVoters, ///< There were too many voters, all of them in contact.
     TooFewVoters, ///< A learner caught up while there were too few voters.
@@ -70,7 +71,7 @@
 inline bool operator!=(const VoterContact& a, const VoterContact& b) { return !(a == b); }
 
 /// Whether a learner could become a voter, and otherwise why not.
-enum class LearnerReadiness : std::uint8_t { Ready, NotInContact, NoDurableStorage, LacksEntries };
+enum class LearnerReadiness : std::uint8_t { Ready, NotInContact, NoDurableStorage, Leaving, LacksEntries };
 
 /// @return the name of a readiness for the log, in lower case with hyphens.
 const char* toString(LearnerReadiness readiness);
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -138,6 +138,7 @@
     void onRoleChange();
     void scheduleTick();
     void recordLag(Millis due);
+    void introduceToAll();
     void scheduleIntroductions();
     Introduction ownIntroduction() const;
 
@@ -160,6 +161,7 @@
     VoterLog m_voterLog;
     ElectionLog m_electionLog;
     LoopLag m_lag;
+    bool m_isLeaving = false; ///< Set by resign().
     bool m_wasOverloaded = false; ///< Last logged state.
     bool m_wasStorageFailed = false; ///< Last logged state of the storage.
     kj::PromiseFulfillerPair<void> m_failure = kj::newPromiseAndFulfiller<void>();
--- a/src/consensus/LogDriver.cpp
+++ b/src/consensus/LogDriver.cpp
@@ -229,6 +229,11 @@
     m_core->addPeer(name);
 }
 
+void LogDriver::setLeaving(Millis now, const ReplicaId& replica, bool isLeaving)
+{
+    m_core->setLeaving(now, replica, isLeaving);
+}
+
 const std::string& LogDriver::leader() const
 {
     static const std::string unknown;
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -198,6 +198,8 @@
         return LearnerReadiness::NotInContact;
     if (!isDurableId(replica.id.storageId))
         return LearnerReadiness::NoDurableStorage;
+    if (isLeaving(replica.id))
+        return LearnerReadiness::Leaving;
     // An empty replica can't vote. As a voter it would count towards the majority, so that the loss of
     // another voter could leave the log without one.
     // The lag is limited in time, since a learner that keeps up may lack any number of entries of a fast log.
@@ -217,11 +219,30 @@
     return replica == nullptr ? m_leadingSince : std::max(replica->ackedSendTime, m_leadingSince);
 }
 
+void RaftCore::setLeaving(Millis now, const ReplicaId& replica, bool isLeaving)
+{
+    advanceTime(now);
+    for (auto item = m_leavingUntil.begin(); item != m_leavingUntil.end();)
+        item = m_now < item->second ? std::next(item) : m_leavingUntil.erase(item);
+    if (isLeaving) {
+        m_leavingUntil[replica] = m_now + leavingTimeout;
+    } else {
+        m_leavingUntil.erase(replica);
+    }
+}
+
+bool RaftCore::isLeaving(const ReplicaId& replica) const
+{
+    auto found = m_leavingUntil.find(replica);
+    return found != m_leavingUntil.end() && m_now < found->second;
+}
+
 bool RaftCore::isLost(const ReplicaId& voter) const
 {
     if (voter == m_options.self)
         return false;
-    return m_now >= lastContact(voter) + voterReplacementTimeout(m_options.electionTimeout);
+    return isLeaving(voter)
+        || m_now >= lastContact(voter) + voterReplacementTimeout(m_options.electionTimeout);
 }
 
 void RaftCore::maintainConfiguration()
@@ -288,9 +309,10 @@
         if (changed.find(name) != nullptr || !isCaughtUp(replica))
             continue;
         voters.push_back(replica.id);
-        bool isReplacement = !lostVoter.name.empty();
-        changeVoters(changed, isReplacement ? VoterChangeReason::VoterLost : VoterChangeReason::TooFewVoters,
-            lostVoter);
+        auto reason = lostVoter.name.empty() ? VoterChangeReason::TooFewVoters
+            : isLeaving(lostVoter)           ? VoterChangeReason::VoterLeaving
+                                             : VoterChangeReason::VoterLost;
+        changeVoters(changed, reason, lostVoter);
         return;
     }
 }
@@ -324,7 +346,7 @@
     };
     for (const auto& voter : m_log.configuration().voters) {
         const auto* replica = findReplica(voter);
-        if (replica != nullptr && hasRecentReply(*replica)
+        if (replica != nullptr && hasRecentReply(*replica) && !isLeaving(replica->id)
             && (best == nullptr || replica->matchIndex > best->matchIndex))
             best = replica;
     }
--- a/src/consensus/VoterSetStatus.cpp
+++ b/src/consensus/VoterSetStatus.cpp
@@ -11,6 +11,8 @@
         return "disk-replaced";
     case VoterChangeReason::VoterLost:
         return "voter-lost";
+    case VoterChangeReason::VoterLeaving:
+        return "voter-leaving";
     case VoterChangeReason::LostVoterRemoved:
         return "lost-voter-removed";
     case VoterChangeReason::TooManyVoters:
@@ -49,6 +51,8 @@
         return "not-in-contact";
     case LearnerReadiness::NoDurableStorage:
         return "no-durable-storage";
+    case LearnerReadiness::Leaving:
+        return "leaving";
     case LearnerReadiness::LacksEntries:
         return "lacks-entries";
     case LearnerReadiness::Ready:
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -93,6 +93,9 @@
 {
     if (m_log.transferLeadership(m_clock.now()))
         Event("leadership-handed-over").with("term", term()).writeAlways();
+    // The leader replaces this voter before it stops, so that the next loss leaves a majority.
+    m_isLeaving = true;
+    introduceToAll();
     scheduleRound();
 }
 
@@ -108,8 +111,10 @@
 {
     if (!other.address.empty()) {
         m_client.addAddresses({ other.address });
-        if (!other.storageId.empty())
+        if (!other.storageId.empty()) {
             m_log.addPeer(other.address);
+            m_log.setLeaving(m_clock.now(), { other.address, other.storageId }, other.isLeaving);
+        }
         m_formation.recordPeer(other);
     }
     m_client.addAddresses(other.members);
@@ -133,6 +138,7 @@
     if (auto entry = m_log.formation())
         own.formation = encodeFormation(*entry);
     own.leader = leader();
+    own.isLeaving = m_isLeaving;
     own.members = m_client.addresses();
     return own;
 }
@@ -318,7 +324,7 @@
         .writeAlways();
 }
 
-void ControlNode::scheduleIntroductions()
+void ControlNode::introduceToAll()
 {
     for (const auto& address : m_client.addresses()) {
         if (address == m_options.address)
@@ -334,6 +340,11 @@
                                 "introduction failed: " << exception.getDescription().cStr());
                         }));
     }
+}
+
+void ControlNode::scheduleIntroductions()
+{
+    introduceToAll();
     auto interval = leader().empty() ? introductionIntervalWithoutLeader : introductionIntervalWithLeader;
     m_tasks.add(m_timer.afterDelay(interval).then([this] { scheduleIntroductions(); }));
 }
--- a/src/rpc/Control.capnp
+++ b/src/rpc/Control.capnp
@@ -13,6 +13,8 @@
   formation @3 :Data;
   leader @4 :Text;
   members @5 :List(Text);
+  isLeaving @6 :Bool;
+  # Whether the sender is shutting down.
 }
 
 struct ForwardedRequest {
--- a/src/rpc/Control.capnp.h
+++ b/src/rpc/Control.capnp.h
@@ -231,6 +231,8 @@
   inline bool hasMembers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
 
+  inline bool getIsLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -298,6 +300,9 @@
   inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
 
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1282,6 +1287,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool Introduction::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool Introduction::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Introduction::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool ForwardedRequest::Reader::hasMethod() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/ControlConversion.cpp
+++ b/src/rpc/ControlConversion.cpp
@@ -11,6 +11,7 @@
     to.setHasLog(from.hasLog);
     to.setFormation(kjBytes(from.formation));
     to.setLeader(kjText(from.leader));
+    to.setIsLeaving(from.isLeaving);
     auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
     for (unsigned i = 0; i < members.size(); ++i)
         members.set(i, kjText(from.members[i]));
@@ -24,6 +25,7 @@
     introduction.hasLog = from.getHasLog();
     introduction.formation = bytes(from.getFormation());
     introduction.leader = text(from.getLeader());
+    introduction.isLeaving = from.getIsLeaving();
     for (auto member : from.getMembers())
         introduction.members.push_back(text(member));
     return introduction;
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -111,6 +111,22 @@
     REQUIRE(summary.longestSilence == Millis {});
 }
 
+// Guards against a process that shuts down without telling the others, so that its vote is only replaced
+// after its end.
+TEST_CASE("A control process that resigns announces that it is leaving", "[control]")
+{
+    constexpr Millis introductionTimeout { 1000 };
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    const ReservedAddress reserved;
+    SingleNode single(io, files, reserved.text(), true);
+    ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
+    auto& link = links.to(reserved.text());
+    CHECK_FALSE(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
+    single.node().resign();
+    CHECK(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
+}
+
 // Guards against a control process that ends because an introduction named an address that can't be parsed.
 TEST_CASE("An introduction with malformed addresses doesn't end a control process", "[control]")
 {
--- a/test/RaftSimulation.h
+++ b/test/RaftSimulation.h
@@ -79,6 +79,8 @@
     /// Stops a node's execution without killing it. Messages to it wait until thaw().
     void freeze(const std::string& name) { m_nodes.at(name).isFrozen = true; }
     void thaw(const std::string& name);
+    /// Announces the shutdown of a node to all others and transfers its leadership; the node goes on.
+    void shutDown(const std::string& name);
 
     /// Advances the simulated time in steps of a millisecond.
     void run(std::int64_t milliseconds);
--- a/test/RaftSimulationMembers.cpp
+++ b/test/RaftSimulationMembers.cpp
@@ -40,6 +40,20 @@
     node.unread.clear();
 }
 
+void RaftSimulation::shutDown(const std::string& name)
+{
+    auto& leaving = m_nodes.at(name);
+    if (leaving.core == nullptr)
+        return;
+    leaving.core->transferLeadership(timeOf(leaving));
+    process(leaving);
+    const ReplicaId id { name, leaving.storageId };
+    for (auto& [other, node] : m_nodes) {
+        if (other != name && isRunning(other))
+            node.core->setLeaving(timeOf(node), id, true);
+    }
+}
+
 bool RaftSimulation::isRunning(const std::string& name) const
 {
     auto found = m_nodes.find(name);
--- a/test/ReplacementSeries.cpp
+++ b/test/ReplacementSeries.cpp
@@ -12,6 +12,11 @@
 
 constexpr std::int64_t proposalInterval = 20; ///< In milliseconds.
 
+/// Time from the start of a successor to the graceful shutdown of its predecessor, and the duration of a
+/// shutdown, in milliseconds.
+constexpr std::int64_t plannedDelay = 2000;
+constexpr std::int64_t shutdownTime = 1500;
+
 /// The state of the simulation is small, so small chunks give snapshots of some thousand entries a real
 /// duration.
 constexpr std::size_t snapshotChunkBytes = 1000;
@@ -108,6 +113,16 @@
     return successor;
 }
 
+std::string ReplacementSeries::replacePlanned(const std::string& name)
+{
+    auto successor = "n" + std::to_string(++m_successors);
+    markLost(name, 0);
+    simulation.addNode(successor);
+    at(simulation.now() + plannedDelay, [this, name] { simulation.shutDown(name); });
+    at(simulation.now() + plannedDelay + shutdownTime, [this, name] { simulation.removeNode(name); });
+    return successor;
+}
+
 void ReplacementSeries::restart(const std::string& name)
 {
     if (simulation.hasNode(name) && simulation.node(name).core == nullptr)
--- a/test/ReplacementSeries.h
+++ b/test/ReplacementSeries.h
@@ -43,6 +43,9 @@
     /// Removes a machine for good and starts its successor after a while.
     /// @return the successor's name.
     std::string replace(const std::string& name, std::int64_t successorDelay);
+    /// Starts the successor of a machine at once, and shuts the machine down for good after a while.
+    /// @return the successor's name.
+    std::string replacePlanned(const std::string& name);
     void killFor(const std::string& name, std::int64_t downTime);
     void killAllFor(std::int64_t downTime);
     void isolateFor(const std::string& name, std::int64_t milliseconds);
--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -129,6 +129,41 @@
     REQUIRE(findProblem(series) == noProblem);
 }
 
+// Guards against a voter that keeps its vote while it shuts down: it counted as lost only after its end,
+// which was later than the platform permits the next loss.
+TEST_CASE("A planned replacement leaves a majority for the next loss", "[consensus][replacement]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto isLeader = GENERATE(false, true);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, isLeader, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 2; ++i) {
+        series.replacePlanned(isLeader ? series.leader() : series.follower());
+        series.runUntilNoneLost();
+        series.replace(series.leader(), 300);
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+// Guards against a replica that is treated as leaving although it goes on, or is up again.
+TEST_CASE("A replica that goes on after it announced its shutdown can vote again", "[consensus][replacement]")
+{
+    ReplacementSeries series(1, fourMachines);
+    auto announced = series.follower();
+    series.simulation.shutDown(announced);
+    series.run(1000);
+    auto voters = series.simulation.committedVoters();
+    REQUIRE(voters.voters.size() == fourMachines.voters);
+    REQUIRE(voters.find(announced) == nullptr);
+    // Longer than an announcement is valid.
+    series.run(6000);
+    series.killFor(series.leader(), 10000);
+    series.run(ReplacementSeries::catchUpTime);
+    REQUIRE(series.simulation.committedVoters().find(announced) != nullptr);
+}
+
 // Guards against counting a voter's absence anew from each change of leader.
 TEST_CASE("A change of leader between two replacements leaves a majority", "[consensus][replacement]")
 {
