Keep a link open when only a call with a short timeout fails

A call that timed out closed the connection of its link, however little time it had. LeaderClient gives each attempt the rest of the request's deadline, so requests that have waited through an election send their last attempts with a few milliseconds left. Each of them that wasn't answered in that time closed the connection to the new leader, and all other calls and consensus messages of the process on this link failed with it.

A call that waited for less than 500 ms since it was sent now closes the connection only if messages went unanswered for 500 ms.

Before: "A call with a short timeout doesn't fail the other calls" failed, since a request with 800 ms to wait for an answer that takes 300 ms failed with one that had 100 ms. After: it passes, and calls of 100 ms alone give up a silent connection within 600 ms and the test's margin.

--- a/include/celeryline/rpc/ControlLink.h
+++ b/include/celeryline/rpc/ControlLink.h
@@ -29,8 +29,9 @@
 };
 
 /// A connection to one control process, opened on demand. A call that times out closes the connection,
-/// because an established connection can stop delivering data permanently while a new one would work. Must
-/// be used on a single event loop and must outlive the promises that it returns.
+/// because an established connection can stop delivering data permanently while a new one would work; one
+/// with a short timeout does so only if the connection has been silent for longer. Must be used on a single
+/// event loop and must outlive the promises that it returns.
 class ControlLink final : private kj::TaskSet::ErrorHandler {
 public:
     /// @param timer timer of the event loop.
@@ -55,12 +56,19 @@
 private:
     struct Connection;
 
+    /// On which connection a call was sent, and when.
+    struct SentCall {
+        std::uint64_t connection; ///< 0 if the call wasn't sent yet.
+        kj::TimePoint at;
+    };
+
     void taskFailed(kj::Exception&& exception) override;
     kj::Promise<void> whenConnected();
     void startConnecting();
     void onConnected(kj::Own<kj::AsyncIoStream>&& stream);
     void queueRaft(RaftMessage message);
     void scheduleDisconnect(const std::string& reason);
+    void onCallTimeout(const SentCall& sent);
     template <typename Result, typename Call>
     kj::Promise<CallResult<Result>> call(Millis timeout, Call&& sendRequest);
 
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t maxPendingRaft = 16;
 /// If a consensus message isn't acknowledged within this time, the connection is considered dead.
 constexpr kj::Duration raftTimeout = 1 * kj::SECONDS;
+/// A call with a shorter timeout closes the connection only if messages went unanswered for this time.
+constexpr kj::Duration maxSilence = 500 * kj::MILLISECONDS;
 /// Further messages are dropped, so that they don't accumulate for a slow receiver; consensus resends them.
 constexpr std::size_t maxRaftInFlight = 64;
 
@@ -60,11 +62,30 @@
         control = rpcSystem.bootstrap(server).castAs<rpc::Control>();
     }
 
+    /// Records that a message is sent.
+    void onSent(kj::TimePoint now)
+    {
+        if (unansweredSince == nullptr)
+            unansweredSince = now;
+    }
+
+    /// Records a response.
+    void onResponse() { unansweredSince = nullptr; }
+
+    /// @return whether messages have been sent for maxSilence without a response.
+    bool isSilent(kj::TimePoint now) const
+    {
+        KJ_IF_MAYBE (since, unansweredSince)
+            return now - *since >= maxSilence;
+        return false;
+    }
+
     kj::Own<kj::AsyncIoStream> stream;
     detail::PackedStream packed;
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpcSystem;
     rpc::Control::Client control = nullptr;
+    kj::Maybe<kj::TimePoint> unansweredSince; ///< The first message since the last response; null if none.
     kj::Canceler calls;
 };
 
@@ -151,29 +172,41 @@
 template <typename Result, typename Call>
 kj::Promise<CallResult<Result>> ControlLink::call(Millis timeout, Call&& sendRequest)
 {
-    auto sentOn = std::make_shared<std::uint64_t>(0); // Number of the connection; 0 if not sent yet.
-    auto answered = whenConnected().then([this, sentOn, sendRequest = kj::fwd<Call>(sendRequest)]() mutable {
-        *sentOn = m_connectionNumber;
+    auto sent = std::make_shared<SentCall>(SentCall { 0, m_timer.now() });
+    auto answered = whenConnected().then([this, sent, sendRequest = kj::fwd<Call>(sendRequest)]() mutable {
+        *sent = { m_connectionNumber, m_timer.now() };
+        m_connection->onSent(sent->at);
         return m_connection->calls.wrap(sendRequest(m_connection->control));
     });
     return m_timer.timeoutAfter(toKj(timeout), kj::mv(answered))
         .then(
-            [](Result&& result) {
+            [this, sent](Result&& result) {
+                if (m_connection && sent->connection == m_connectionNumber)
+                    m_connection->onResponse();
                 CallResult<Result> answer;
                 answer.hasResult = true;
                 answer.result = kj::mv(result);
                 return answer;
             },
-            [this, sentOn](kj::Exception&& e) {
-                bool timedOutAfterSend = e.getType() == kj::Exception::Type::OVERLOADED && *sentOn != 0;
-                if (timedOutAfterSend && *sentOn == m_connectionNumber)
-                    scheduleDisconnect("a call timed out");
+            [this, sent](kj::Exception&& e) {
+                if (e.getType() == kj::Exception::Type::OVERLOADED)
+                    onCallTimeout(*sent);
                 CallResult<Result> answer;
-                answer.failure = *sentOn != 0 ? CallFailure::Unknown : CallFailure::NotSent;
+                answer.failure = sent->connection != 0 ? CallFailure::Unknown : CallFailure::NotSent;
                 return answer;
             });
 }
 
+void ControlLink::onCallTimeout(const SentCall& sent)
+{
+    if (!m_connection || sent.connection != m_connectionNumber)
+        return;
+    auto now = m_timer.now();
+    // The time that was left for a call says nothing about the peer if it was short.
+    if (now - sent.at >= maxSilence || m_connection->isSilent(now))
+        scheduleDisconnect("a call timed out");
+}
+
 kj::Promise<CallResult<ForwardedResponse>> ControlLink::forward(
     const ForwardedRequest& request, Millis timeout)
 {
@@ -223,12 +256,16 @@
     ++m_raftInFlight;
     auto request = m_connection->control.raftRequest();
     detail::write(message, request.initMessage());
+    m_connection->onSent(m_timer.now());
     auto number = m_connectionNumber;
     auto sent = m_timer.timeoutAfter(raftTimeout, m_connection->calls.wrap(request.send().ignoreResult()));
     m_tasks.add(sent.then(
         [this, number] {
-            if (number == m_connectionNumber)
-                --m_raftInFlight;
+            if (number != m_connectionNumber)
+                return;
+            --m_raftInFlight;
+            if (m_connection)
+                m_connection->onResponse();
         },
         [this, number](kj::Exception&& e) {
             if (number != m_connectionNumber)
--- a/test/ControlLinkTest.cpp
+++ b/test/ControlLinkTest.cpp
@@ -40,11 +40,13 @@
     kj::Promise<ForwardedResponse> onForwarded(ForwardedRequest) override
     {
         ++forwarded;
-        return ForwardedResponse {};
+        return answerForwarded();
     }
 
     std::size_t received() const { return terms.size() + introductions + forwarded; }
 
+    std::function<kj::Promise<ForwardedResponse>()> answerForwarded
+        = [] { return kj::Promise<ForwardedResponse>(ForwardedResponse {}); };
     std::vector<std::uint64_t> terms;
     std::size_t introductions = 0;
     std::size_t forwarded = 0;
@@ -194,6 +196,44 @@
     }
 }
 
+// Guards against a request with little time left, of which there are many after an election: it closed the
+// connection, and all other calls of the process failed with it although the leader would have answered.
+TEST_CASE("A call with a short timeout doesn't fail the other calls", "[rpc]")
+{
+    constexpr Millis commitTime { 300 };
+    constexpr Millis shortTimeout { 100 };
+    LinkFixture f;
+    f.startRelayedServer();
+    f.control.answerForwarded = [&f] {
+        return f.timer().afterDelay(commitTime.count * kj::MILLISECONDS).then([] {
+            return ForwardedResponse {};
+        });
+    };
+    auto patient = f.link.forward({}, forwardTimeout);
+    auto hurried = f.link.forward({}, shortTimeout).wait(f.io.waitScope);
+    CHECK_FALSE(hurried.hasResult);
+    CHECK(hurried.failure == CallFailure::Unknown);
+    CHECK(patient.wait(f.io.waitScope).hasResult);
+    CHECK(f.relay->connections() == 1);
+}
+
+// Guards against a dead connection that is kept because each call on it has a short timeout.
+TEST_CASE("Calls with short timeouts give up a silent connection together", "[rpc]")
+{
+    static constexpr Millis shortTimeout { 100 };
+    constexpr Millis maxSilence { 500 };
+    const LinkUser hurried { "short request", shortTimeout,
+        [](ControlLink& link) { return link.forward({}, shortTimeout).ignoreResult(); } };
+    LinkFixture f;
+    f.startRelayedServer();
+    f.relay->silence();
+    const auto limit = maxSilence + shortTimeout + margin;
+    CHECK(f.sendUntil(hurried, [&] { return f.relay->connections() > 1; }) <= limit);
+    f.relay->forwardNewConnections();
+    const auto before = f.control.received();
+    CHECK(f.sendUntil(hurried, [&] { return f.control.received() > before; }) <= limit);
+}
+
 // Guards against consensus messages that pile up for a silent peer or reach it long after they were sent.
 TEST_CASE("Consensus messages to a silent peer are limited and aren't delivered late", "[rpc]")
 {
