--- a/test/ReplacementSeries.h
+++ b/test/ReplacementSeries.h
@@ -43,6 +43,10 @@
     /// Removes a machine for good and starts its successor after a while.
     /// @return the successor's name.
     std::string replace(const std::string& name, std::int64_t successorDelay);
+    /// Kills a machine, which loses its disk and restarts at its old address after a while.
+    void wipe(const std::string& name, std::int64_t downTime);
+    /// Makes the leader, if there is one, hand over to another voter. No machine is lost.
+    void transferLeadership();
     void killFor(const std::string& name, std::int64_t downTime);
     void killAllFor(std::int64_t downTime);
     void isolateFor(const std::string& name, std::int64_t milliseconds);
