Measure how fast and how often the voter set changes

Cause: the time until the voter set follows a replacement decides whether the next one is survived, but nothing bounded it. A shorter limit lets voters that are only away for seconds lose their place, and nothing measured how often.

"Machines that are away for seconds change the voter set in bounds" isolates or freezes one machine after the other, prints the committed configurations a minute, and requires that the cluster serves writes with a complete voter set at the end. It sets no limit for the number yet.

--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -2,8 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <vector>
 
 using namespace celeryline;
 using celeryline::test::ClusterSize;
@@ -17,6 +19,9 @@
 /// The voter set consists of live machines this long after the last machine counts as lost, in milliseconds.
 constexpr std::int64_t voterSetLimit = 5000;
 
+/// How long a voter set is observed until it counts as unchanged for good, in milliseconds.
+constexpr std::int64_t followLimit = 15000;
+
 /// A successor usually starts this long after a machine was removed, in milliseconds.
 constexpr std::int64_t successorDelay = 300;
 
@@ -142,6 +147,75 @@
     REQUIRE(findProblem(series) == noProblem);
 }
 
+// Guards against a voter set that follows a replacement only after the platform may remove the next machine.
+// The time counts from the successors' start, as the platform's catch-up time does.
+TEST_CASE(
+    "The voter set follows a replacement within the catch-up time", "[consensus][replacement][known-red]")
+{
+    struct Case {
+        ClusterSize size;
+        bool isFollowerLost;
+        bool isLeaderLost;
+    };
+    auto lost = GENERATE(Case { threeMachines, true, false }, Case { threeMachines, false, true },
+        Case { fourMachines, true, false }, Case { fourMachines, false, true },
+        Case { eightMachines, true, false }, Case { eightMachines, false, true },
+        Case { eightMachines, true, true });
+    CAPTURE(lost.size.machines, lost.isFollowerLost, lost.isLeaderLost);
+    const auto seeds = seedCount(5);
+    std::vector<std::int64_t> times;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ReplacementSeries series(seed, lost.size);
+        series.simulation.network.maxDelay = 20;
+        series.fillLog(3000);
+        if (lost.isFollowerLost)
+            series.replace(series.follower(), successorDelay);
+        if (lost.isLeaderLost)
+            series.replace(series.leader(), successorDelay);
+        series.run(successorDelay);
+        auto start = series.simulation.now();
+        series.hasTargetVotersWithin(followLimit);
+        times.push_back(series.simulation.now() - start);
+    }
+    std::sort(times.begin(), times.end());
+    std::printf(
+        "replacement: %d machines%s%s lost: the voter set follows in %d ms (median), %d ms (maximum)\n",
+        lost.size.machines, lost.isFollowerLost ? ", a follower" : "",
+        lost.isLeaderLost ? ", the leader" : "", static_cast<int>(times[times.size() / 2]),
+        static_cast<int>(times.back()));
+    CHECK(times.back() < ReplacementSeries::catchUpTime);
+}
+
+// Prints how often the voter set changes while no machine is lost for good. Each change writes to all disks
+// and leaves a moment in which more voters than usual are needed for a majority.
+TEST_CASE("Machines that are away for seconds change the voter set in bounds", "[consensus][replacement]")
+{
+    constexpr std::int64_t pause = 1000; ///< Between two absences, in milliseconds.
+    constexpr std::int64_t minutes = 2;
+    auto size = GENERATE(threeMachines, fourMachines, eightMachines);
+    auto isFrozen = GENERATE(false, true);
+    auto away = GENERATE(500, 1500, 3000, 6000);
+    CAPTURE(size.machines, isFrozen, away);
+    ReplacementSeries series(1, size);
+    auto& simulation = series.simulation;
+    auto before = simulation.committedConfigurations();
+    auto end = simulation.now() + minutes * 60000;
+    while (simulation.now() < end) {
+        auto name = simulation.randomBelow(2) == 0 ? series.leader() : series.follower();
+        if (isFrozen) {
+            series.freezeFor(name, away);
+        } else {
+            series.isolateFor(name, away);
+        }
+        series.run(away + pause);
+    }
+    std::printf("replacement: %d machines, one %s for %d ms each %d ms: %.1f configurations a minute\n",
+        size.machines, isFrozen ? "frozen" : "isolated", static_cast<int>(away),
+        static_cast<int>(away + pause),
+        static_cast<double>(simulation.committedConfigurations() - before) / minutes);
+    CHECK(findProblem(series) == noProblem);
+}
+
 namespace {
 
 /// Result of a randomised run.
