Show two more reasons for which a voter set falls behind

A learner counts as caught up when it lacks at most 64 entries of the leader's last one, however quickly the log grows. And each new leader counts a voter's absence from the start of its own term, so that frequent changes of leader keep a lost voter in the set.

Change: "A learner becomes a voter while the log grows quickly" has 3,000 entries a second and 40 to 50 ms until a reply, with a spare machine that follows as closely as the voters. "Frequent changes of leader between two replacements leave a majority" hands the leadership over each 0.7 or 1.2 s without losing a machine. "Three of five voters elect a leader in time after a restart" limits the election that the voter set has to wait for to 3 s.

Seen on the unchanged consensus: no learner becomes a voter within 15 s; all 20 series with frequent changes end without a leader for good.

--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -147,6 +147,26 @@
     REQUIRE(findProblem(series) == noProblem);
 }
 
+// Guards against counting a voter's absence anew from every change of leader, so that a voter set never
+// follows while no leader stays for long.
+TEST_CASE("Frequent changes of leader between two replacements leave a majority",
+    "[consensus][replacement][known-red]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto interval = GENERATE(700, 1200);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, interval, seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 3; ++i) {
+        series.replace(series.follower(), successorDelay);
+        while (series.lostMachines() != 0) {
+            series.run(interval);
+            series.transferLeadership();
+        }
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
 // Guards against a voter set that follows a replacement only after the platform may remove the next machine.
 // The time counts from the successors' start, as the platform's catch-up time does.
 TEST_CASE(
@@ -186,6 +206,50 @@
     CHECK(times.back() < ReplacementSeries::catchUpTime);
 }
 
+// Guards against learners that never become voters because the log grows by more entries in a round trip than
+// a caught-up learner may lack. Voters lack as many entries in that case.
+TEST_CASE("A learner becomes a voter while the log grows quickly", "[consensus][replacement][known-red]")
+{
+    ReplacementSeries series(1, fourMachines);
+    auto& simulation = series.simulation;
+    simulation.network.minDelay = 20;
+    simulation.network.maxDelay = 25;
+    series.replace(series.follower(), successorDelay);
+    auto proposeAndCheck = [&] {
+        for (int i = 0; i < 3; ++i)
+            simulation.propose(series.leader(), "quick");
+        return simulation.hasTargetVoters();
+    };
+    bool isComplete = series.runUntil(proposeAndCheck, followLimit);
+    INFO(series.describe());
+    CHECK(isComplete);
+}
+
+// Guards against elections that take so long that the voter set can't follow in time. With two of five voters
+// lost, the others all have to vote for the same candidate, and here they restart at the same time.
+TEST_CASE("Three of five voters elect a leader in time after a restart", "[consensus][replacement]")
+{
+    constexpr std::int64_t electionLimit = 3000; ///< Leaves a second of the catch-up time to the voter set.
+    const auto seeds = seedCount(100);
+    std::vector<std::int64_t> times;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ReplacementSeries series(seed, eightMachines);
+        series.simulation.network.maxDelay = 30;
+        series.replace(series.follower(), successorDelay);
+        series.replace(series.leader(), successorDelay);
+        series.run(2 * successorDelay);
+        series.killAllFor(successorDelay);
+        series.run(successorDelay);
+        auto start = series.simulation.now();
+        series.commitsWithin(followLimit);
+        times.push_back(series.simulation.now() - start);
+    }
+    std::sort(times.begin(), times.end());
+    std::printf("replacement: three of five voters commit %d ms (median), %d ms (maximum) after a restart\n",
+        static_cast<int>(times[times.size() / 2]), static_cast<int>(times.back()));
+    CHECK(times.back() < electionLimit);
+}
+
 // Prints how often the voter set changes while no machine is lost for good. Each change writes to all disks
 // and leaves a moment in which more voters than usual are needed for a majority.
 TEST_CASE("Machines that are away for seconds change the voter set in bounds", "[consensus][replacement]")
