--- a/test/ReplacementSeries.cpp
+++ b/test/ReplacementSeries.cpp
@@ -19,7 +19,7 @@
 
 /// The state of the simulation is small, so small chunks give snapshots of some thousand entries a real
 /// duration.
-constexpr std::size_t snapshotChunkBytes = 1000;
+constexpr std::size_t snapshotChunkBytes = 4000;
 
 } // namespace
 
@@ -35,6 +35,7 @@
     simulation.raft.maxInFlightEntries = defaults.maxInFlightEntries;
     simulation.raft.snapshotChunkBytes = snapshotChunkBytes;
     simulation.tickInterval = tickInterval;
+    simulation.network.isOrdered = true;
     simulation.snapshotEntries = 1000;
     simulation.start();
     commitsWithin(10000);
@@ -59,7 +60,8 @@
 {
     auto end = simulation.committed() + entries;
     while (simulation.committed() < end) {
-        simulation.propose(leader(), "c" + std::to_string(m_proposals++));
+        for (int i = 0; i < 10; ++i)
+            simulation.propose(leader(), "c" + std::to_string(m_proposals++));
         step();
     }
 }
@@ -129,6 +131,19 @@
         simulation.startNode(name);
 }
 
+void ReplacementSeries::wipe(const std::string& name, std::int64_t downTime)
+{
+    killFor(name, downTime);
+    simulation.loseDisk(name);
+}
+
+void ReplacementSeries::transferLeadership()
+{
+    auto name = simulation.leader();
+    if (!name.empty() && !simulation.node(name).isFrozen)
+        simulation.node(name).core->transferLeadership({ 0 });
+}
+
 void ReplacementSeries::killFor(const std::string& name, std::int64_t downTime)
 {
     markLost(name, downTime);
--- a/test/ReplacementSeries.h
+++ b/test/ReplacementSeries.h
@@ -46,6 +46,10 @@
     /// Starts the successor of a machine at once, and shuts the machine down for good after a while.
     /// @return the successor's name.
     std::string replacePlanned(const std::string& name);
+    /// Kills a machine, which loses its disk and restarts at its old address after a while.
+    void wipe(const std::string& name, std::int64_t downTime);
+    /// Makes the leader, if there is one, hand over to another voter. No machine is lost.
+    void transferLeadership();
     void killFor(const std::string& name, std::int64_t downTime);
     void killAllFor(std::int64_t downTime);
     void isolateFor(const std::string& name, std::int64_t milliseconds);
--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -5,8 +5,10 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <vector>
 
 using namespace celeryline;
 using celeryline::test::ClusterSize;
@@ -20,6 +22,12 @@
 /// The voter set consists of live machines this long after the last machine counts as lost, in milliseconds.
 constexpr std::int64_t voterSetLimit = 5000;
 
+/// How long a voter set is observed until it counts as unchanged for good, in milliseconds.
+constexpr std::int64_t followLimit = 15000;
+
+/// A successor usually starts this long after a machine was removed, in milliseconds.
+constexpr std::int64_t successorDelay = 300;
+
 const std::string noProblem;
 
 const ClusterSize threeMachines { 3, 3 };
@@ -42,19 +50,19 @@
         problem = "no leader commits entries";
     } else if (!series.hasTargetVotersWithin(voterSetLimit)) {
         problem = "the voter set is incomplete or has a machine that isn't live";
-    } else if (!series.runUntil(isConverged, voterSetLimit)) {
+    } else if (!series.simulation.runUntil(isConverged, voterSetLimit)) { // Without further proposals.
         problem = "the replicas don't converge";
     }
     return problem == noProblem ? noProblem : problem + ": " + series.describe();
 }
 
 /// Replaces a follower, then the leader twice, each as soon as the one before no longer counts as lost.
-void replaceFollowerThenLeaderTwice(ReplacementSeries& series, std::int64_t successorDelay)
+void replaceFollowerThenLeaderTwice(ReplacementSeries& series, std::int64_t delay)
 {
-    series.replace(series.follower(), successorDelay);
+    series.replace(series.follower(), delay);
     series.runUntilNoneLost();
     for (int i = 0; i < 2; ++i) {
-        series.replace(series.leader(), successorDelay);
+        series.replace(series.leader(), delay);
         series.runUntilNoneLost();
     }
     REQUIRE(findProblem(series) == noProblem);
@@ -73,11 +81,11 @@
 TEST_CASE("Machines replaced one after the other leave a majority", "[consensus][replacement]")
 {
     auto size = GENERATE(threeMachines, fourMachines);
-    auto successorDelay = GENERATE(1000, 300);
+    auto delay = GENERATE(1000, 300);
     auto seed = GENERATE(range(1, 6));
-    CAPTURE(size.machines, successorDelay, seed);
+    CAPTURE(size.machines, delay, seed);
     ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
-    replaceFollowerThenLeaderTwice(series, successorDelay);
+    replaceFollowerThenLeaderTwice(series, delay);
 }
 
 // Shows that the simulated machines find each other and become voters if there is enough time for it.
@@ -97,13 +105,13 @@
 // Guards against the same loss with five voters, of which two may be lost at once.
 TEST_CASE("Pairs of machines replaced one after the other leave a majority", "[consensus][replacement]")
 {
-    auto successorDelay = GENERATE(1000, 300);
+    auto delay = GENERATE(1000, 300);
     auto seed = GENERATE(range(1, 6));
-    CAPTURE(successorDelay, seed);
+    CAPTURE(delay, seed);
     ReplacementSeries series(static_cast<std::uint64_t>(seed), eightMachines);
     for (int i = 0; i < 3; ++i) {
-        series.replace(series.follower(), successorDelay);
-        series.replace(series.leader(), successorDelay);
+        series.replace(series.follower(), delay);
+        series.replace(series.leader(), delay);
         series.runUntilNoneLost();
     }
     REQUIRE(findProblem(series) == noProblem);
@@ -164,7 +172,7 @@
     REQUIRE(series.simulation.committedVoters().find(announced) != nullptr);
 }
 
-// Guards against counting a voter's absence anew from each change of leader.
+// Guards against counting a voter's absence anew from a change of leader.
 TEST_CASE("A change of leader between two replacements leaves a majority", "[consensus][replacement]")
 {
     auto size = GENERATE(threeMachines, fourMachines);
@@ -172,10 +180,9 @@
     CAPTURE(size.machines, seed);
     ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
     for (int i = 0; i < 3; ++i) {
-        series.replace(series.follower(), 300);
+        series.replace(series.follower(), successorDelay);
         series.run(1300);
-        auto& leader = series.simulation.node(series.leader());
-        leader.core->transferLeadership({ 0 });
+        series.transferLeadership();
         series.runUntilNoneLost();
     }
     REQUIRE(findProblem(series) == noProblem);
@@ -183,6 +190,161 @@
 
 namespace {
 
+/// Replaces followers while the leadership is handed over at an interval in milliseconds.
+void replaceWhileLeadersChange(ClusterSize size, std::int64_t interval, int seed)
+{
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), size);
+    for (int i = 0; i < 3; ++i) {
+        series.replace(series.follower(), successorDelay);
+        while (series.lostMachines() != 0) {
+            series.run(interval);
+            series.transferLeadership();
+        }
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
+} // namespace
+
+// Guards against counting a voter's absence anew from every change of leader for so long that a voter set
+// doesn't follow while no leader stays for long.
+TEST_CASE("Frequent changes of leader between two replacements leave a majority", "[consensus][replacement]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, seed);
+    replaceWhileLeadersChange(size, 1200, seed);
+}
+
+// Guards against the same with leaders that stay for less than the time after which they replace a voter.
+TEST_CASE(
+    "Leaders that change before they replace a voter leave a majority", "[consensus][replacement][known-red]")
+{
+    auto size = GENERATE(threeMachines, fourMachines);
+    auto seed = GENERATE(range(1, 6));
+    CAPTURE(size.machines, seed);
+    replaceWhileLeadersChange(size, 700, seed);
+}
+
+// Guards against a voter set that follows a replacement only after the platform may remove the next machine.
+// The time counts from the successors' start, as the platform's catch-up time does.
+TEST_CASE("The voter set follows a replacement within the catch-up time", "[consensus][replacement]")
+{
+    struct Case {
+        ClusterSize size;
+        bool isFollowerLost;
+        bool isLeaderLost;
+    };
+    auto lost = GENERATE(Case { threeMachines, true, false }, Case { threeMachines, false, true },
+        Case { fourMachines, true, false }, Case { fourMachines, false, true },
+        Case { eightMachines, true, false }, Case { eightMachines, false, true },
+        Case { eightMachines, true, true });
+    CAPTURE(lost.size.machines, lost.isFollowerLost, lost.isLeaderLost);
+    const auto seeds = seedCount(5);
+    std::vector<std::int64_t> times;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ReplacementSeries series(seed, lost.size);
+        series.simulation.network.maxDelay = 20;
+        series.fillLog(3000);
+        if (lost.isFollowerLost)
+            series.replace(series.follower(), successorDelay);
+        if (lost.isLeaderLost)
+            series.replace(series.leader(), successorDelay);
+        series.run(successorDelay);
+        auto start = series.simulation.now();
+        series.hasTargetVotersWithin(followLimit);
+        times.push_back(series.simulation.now() - start);
+    }
+    std::sort(times.begin(), times.end());
+    std::printf(
+        "replacement: %d machines%s%s lost: the voter set follows in %d ms (median), %d ms (maximum)\n",
+        lost.size.machines, lost.isFollowerLost ? ", a follower" : "",
+        lost.isLeaderLost ? ", the leader" : "", static_cast<int>(times[times.size() / 2]),
+        static_cast<int>(times.back()));
+    CHECK(times.back() < ReplacementSeries::catchUpTime);
+}
+
+// Guards against learners that never become voters because the log grows by more entries in a round trip than
+// a caught-up learner may lack. Voters lack as many entries in that case.
+TEST_CASE("A learner becomes a voter while the log grows quickly", "[consensus][replacement]")
+{
+    ReplacementSeries series(1, fourMachines);
+    auto& simulation = series.simulation;
+    simulation.network.minDelay = 20;
+    simulation.network.maxDelay = 25;
+    series.replace(series.follower(), successorDelay);
+    auto proposeAndCheck = [&] {
+        for (int i = 0; i < 3; ++i)
+            simulation.propose(series.leader(), "quick");
+        return simulation.hasTargetVoters();
+    };
+    bool isComplete = series.runUntil(proposeAndCheck, followLimit);
+    INFO(series.describe());
+    CHECK(isComplete);
+}
+
+// Guards against elections that take so long that the voter set can't follow in time. With two of five voters
+// lost, the others all have to vote for the same candidate, and here they restart at the same time.
+TEST_CASE("Three of five voters elect a leader in time after a restart", "[consensus][replacement]")
+{
+    constexpr std::int64_t electionLimit = 3000; ///< Leaves a second of the catch-up time to the voter set.
+    const auto seeds = seedCount(100);
+    std::vector<std::int64_t> times;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ReplacementSeries series(seed, eightMachines);
+        series.simulation.network.maxDelay = 30;
+        series.replace(series.follower(), successorDelay);
+        series.replace(series.leader(), successorDelay);
+        series.run(2 * successorDelay);
+        series.killAllFor(successorDelay);
+        series.run(successorDelay);
+        auto start = series.simulation.now();
+        series.commitsWithin(followLimit);
+        times.push_back(series.simulation.now() - start);
+    }
+    std::sort(times.begin(), times.end());
+    std::printf("replacement: three of five voters commit %d ms (median), %d ms (maximum) after a restart\n",
+        static_cast<int>(times[times.size() / 2]), static_cast<int>(times.back()));
+    CHECK(times.back() < electionLimit);
+}
+
+// Prints how often the voter set changes while no machine is lost for good. Each change writes to all disks
+// and leaves a moment in which more voters than usual are needed for a majority.
+TEST_CASE("Machines that are away for seconds change the voter set in bounds", "[consensus][replacement]")
+{
+    constexpr std::int64_t pause = 1000; ///< Between two absences, in milliseconds.
+    constexpr std::int64_t minutes = 2;
+    auto size = GENERATE(threeMachines, fourMachines, eightMachines);
+    auto isFrozen = GENERATE(false, true);
+    auto away = GENERATE(500, 1500, 3000, 6000);
+    CAPTURE(size.machines, isFrozen, away);
+    ReplacementSeries series(1, size);
+    auto& simulation = series.simulation;
+    auto before = simulation.committedConfigurations();
+    auto end = simulation.now() + minutes * 60000;
+    std::uint64_t absences = 0;
+    while (simulation.now() < end) {
+        ++absences;
+        auto name = simulation.randomBelow(2) == 0 ? series.leader() : series.follower();
+        if (isFrozen) {
+            series.freezeFor(name, away);
+        } else {
+            series.isolateFor(name, away);
+        }
+        series.run(away + pause);
+    }
+    std::printf("replacement: %d machines, one %s for %d ms each %d ms: %.1f configurations a minute\n",
+        size.machines, isFrozen ? "frozen" : "isolated", static_cast<int>(away),
+        static_cast<int>(away + pause),
+        static_cast<double>(simulation.committedConfigurations() - before) / minutes);
+    // One addition and one removal for each absence that outlasts the replacement timeout.
+    CHECK(simulation.committedConfigurations() - before <= 2 * absences);
+    CHECK((away > pause || simulation.committedConfigurations() == before));
+    CHECK(findProblem(series) == noProblem);
+}
+
+namespace {
+
 /// Result of a randomised run.
 struct SeriesResult {
     std::string problem;
@@ -197,11 +359,15 @@
 {
     auto& simulation = series.simulation;
     auto name = simulation.randomBelow(2) == 0 ? series.leader() : series.randomMachine();
-    if (name.empty())
+    if (name.empty() || simulation.node(name).core == nullptr)
         return false;
     auto upTo = [&](std::uint64_t limit) { return static_cast<std::int64_t>(simulation.randomBelow(limit)); };
     if (series.mayReplace() && simulation.randomBelow(4) != 0) {
-        series.replace(name, 300 + upTo(1000));
+        if (simulation.randomBelow(4) == 0) {
+            series.wipe(name, 300 + upTo(1000));
+        } else {
+            series.replace(name, 300 + upTo(1000));
+        }
         return true;
     }
     auto duration = 200 + upTo(simulation.randomBelow(3) == 0 ? 6000 : 1500);
@@ -219,11 +385,11 @@
         series.killAllFor(200 + upTo(800));
         break;
     case 4:
-        simulation.network = { simulation.randomBelow(3) * 3, simulation.randomBelow(2) * 5,
-            simulation.randomBelow(4) == 0 ? 30U : 2U };
+        simulation.network.dropPercent = simulation.randomBelow(3) * 3;
+        simulation.network.maxDelay = simulation.randomBelow(4) == 0 ? 30 : 2;
         break;
     case 5:
-        simulation.node(name).core->transferLeadership({ 0 });
+        series.transferLeadership();
         break;
     default: // Leaves time without a disturbance, after which the next machine may be replaced.
         break;
@@ -244,7 +410,7 @@
             result.replacements += disturb(series, rarity) ? 1 : 0;
             series.run(static_cast<std::int64_t>(100 + simulation.randomBelow(800)));
         }
-        simulation.network = {};
+        simulation.network.dropPercent = 0;
         series.runUntilNoneLost();
         result.problem = findProblem(series);
     } catch (const InvariantViolation& e) {
