--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -169,6 +169,8 @@
     void appendReceived(const std::vector<LogEntry>& entries);
 
     // Snapshots (RaftSnapshot.cpp)
+    /// Sends an empty Append, of which only the reply matters.
+    void sendContactProbe(const detail::ReplicaState& replica);
     void sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat);
     void onSnapshotReply(const RaftMessage& message);
     void onSnapshot(const RaftMessage& message);
--- a/src/consensus/RaftSnapshot.cpp
+++ b/src/consensus/RaftSnapshot.cpp
@@ -6,21 +6,39 @@
 #include <algorithm>
 
 namespace celeryline {
+namespace {
+
+/// Time without a reply after which a replica gets no more chunks of a snapshot until it replies again. Long
+/// enough for a slow disk to store a chunk.
+constexpr Millis snapshotContactTimeout { 5000 };
+
+} // namespace
+
+void RaftCore::sendContactProbe(const detail::ReplicaState& replica)
+{
+    auto message = makeMessage(RaftMessageKind::Append, replica.id);
+    message.logIndex = m_log.lastIndex();
+    message.logTerm = m_log.lastTerm();
+    message.sequence = static_cast<std::uint64_t>(m_now.count);
+    send(std::move(message));
+}
 
 void RaftCore::sendSnapshotChunk(detail::ReplicaState& replica, bool isHeartbeat)
 {
+    // A removed machine never replies again, and chunks for it would use as much bandwidth as a transfer.
+    auto lastContact = std::max(replica.ackedSendTime, m_leadingSince);
+    if (m_now >= lastContact + snapshotContactTimeout) {
+        if (isHeartbeat)
+            sendContactProbe(replica);
+        return;
+    }
     // A transfer in progress continues even if a newer snapshot exists, unless the entries that follow the
     // old one have been compacted.
     if (m_outgoingSnapshot == nullptr || m_outgoingSnapshotIndex < m_log.baseIndex()) {
         m_outgoingSnapshot.reset();
         m_output.needsSnapshot = true;
-        if (isHeartbeat) {
-            auto message = makeMessage(RaftMessageKind::Append, replica.id);
-            message.logIndex = m_log.lastIndex();
-            message.logTerm = m_log.lastTerm();
-            message.sequence = static_cast<std::uint64_t>(m_now.count);
-            send(std::move(message));
-        }
+        if (isHeartbeat)
+            sendContactProbe(replica);
         return;
     }
     if (replica.snapshotIndex != m_outgoingSnapshotIndex) {
--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -181,6 +181,45 @@
     REQUIRE(findProblem(series) == noProblem);
 }
 
+// Guards against a leader that sends its snapshot to each machine that was ever removed, ten times a second
+// until the end of its term.
+TEST_CASE("A removed machine gets no snapshots", "[consensus][replacement]")
+{
+    ReplacementSeries series(1, fourMachines);
+    auto& simulation = series.simulation;
+    const auto removed = series.follower();
+    series.replace(removed, 300);
+    series.runUntilNoneLost();
+    // More entries than a leader retains for a replica that is behind.
+    series.fillLog(5000);
+    constexpr std::int64_t longTime = 10000;
+    series.run(longTime);
+    int heartbeats = 0;
+    int chunks = 0;
+    simulation.onMessage = [&](const RaftMessage& message) {
+        if (message.to.name != removed)
+            return;
+        ++(message.kind == RaftMessageKind::Snapshot ? chunks : heartbeats);
+    };
+    series.run(longTime);
+    CHECK(chunks == 0);
+    // It would be noticed if the machine came back.
+    CHECK(heartbeats > 0);
+}
+
+// Guards against a machine that was away while its entries were compacted and never gets the snapshot.
+TEST_CASE("A machine that was away for long gets the snapshot when it is back", "[consensus][replacement]")
+{
+    constexpr std::int64_t longTime = 10000;
+    auto seed = GENERATE(range(1, 4));
+    CAPTURE(seed);
+    ReplacementSeries series(static_cast<std::uint64_t>(seed), fourMachines);
+    series.isolateFor(series.follower(), longTime);
+    series.fillLog(5000);
+    series.run(longTime);
+    REQUIRE(findProblem(series) == noProblem);
+}
+
 namespace {
 
 /// Result of a randomised run.
