Give up a silent connection before the voter behind it is replaced

What happened: when one connection from the leader to a sound voter fell silent without a reset, the leader replaced the voter: two changes of the voter set for each such connection. The platform counts this as a reset of connections, not as a loss.

Cause: two limits of one second each that nothing compared. A link considers a connection dead when a consensus message hasn't been acknowledged for 1 s; since the voter set follows a loss faster, the leader counts a voter as lost after 1 s without a reply, which began one heartbeat earlier.

Change: the link gives up after 500 ms, the election timeout. An acknowledgement doesn't wait for the disk of the peer, so a peer that takes longer is out of contact for elections anyway.

In ControlLinkTest the timeout of consensus messages that the other tests allow is shorter by the same time.

--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -21,8 +21,9 @@
 constexpr kj::Duration reconnectDelay = 100 * kj::MILLISECONDS;
 /// Limit of consensus messages queued while connecting; the oldest are kept, since an election needs them.
 constexpr std::size_t maxPendingRaft = 16;
-/// If a consensus message isn't acknowledged within this time, the connection is considered dead.
-constexpr kj::Duration raftTimeout = 1 * kj::SECONDS;
+/// If a consensus message isn't acknowledged within this time, the connection is considered dead. Short
+/// enough that a sound voter is reached on a new connection before the leader counts it as lost.
+constexpr kj::Duration raftTimeout = 500 * kj::MILLISECONDS;
 /// Further messages are dropped, so that they don't accumulate for a slow receiver; consensus resends them.
 constexpr std::size_t maxRaftInFlight = 64;
 
--- a/test/ControlLinkTest.cpp
+++ b/test/ControlLinkTest.cpp
@@ -1,5 +1,7 @@
 #include "celeryline/rpc/ControlLink.h"
 
+#include "celeryline/consensus/VoterReplacement.h"
+#include "celeryline/control/ControlTimes.h"
 #include "celeryline/rpc/ControlServer.h"
 
 #include "Relay.h"
@@ -21,7 +23,7 @@
 
 constexpr Millis sendInterval { 20 };
 /// Timeouts of the users of a link: consensus messages, introductions and forwarded requests.
-constexpr Millis raftTimeout { 1000 };
+constexpr Millis raftTimeout { 500 };
 constexpr Millis introductionTimeout { 700 };
 constexpr Millis forwardTimeout { 800 };
 constexpr Millis connectTimeout { 300 };
@@ -171,6 +173,23 @@
     }
 }
 
+// Guards against a link that gives up a silent connection to a sound voter only after the leader counts the
+// voter as lost: each such connection caused two changes of the voter set.
+TEST_CASE("A link gives up a silent connection before the voter behind it is replaced", "[rpc]")
+{
+    const LinkUser user = linkUsers().front();
+    LinkFixture f;
+    f.startRelayedServer();
+    f.relay->silence();
+    f.relay->forwardNewConnections();
+    const auto before = f.control.received();
+    const auto recovery = f.sendUntil(user, [&] { return f.control.received() > before; });
+    // The last heartbeat that was answered and the first one on the new connection are this far apart from
+    // the silence.
+    constexpr Millis heartbeats { 200 };
+    CHECK((recovery + heartbeats).count < voterReplacementTimeout(controlElectionTimeout).count);
+}
+
 // Guards against a call that waits for its own long timeout although another call or a consensus message has
 // already found the connection dead.
 TEST_CASE("A connection that one user of a link finds dead fails the calls of the others", "[rpc]")
