Share one parser of socket addresses

ControlLink and AnnouncementJson each parsed "IP:port" on their own and accepted different texts. A control link took an IPv6 address only without brackets, although the listener and the settings need brackets, so a process with such an address could listen but not be reached; it also took ports such as "+80", "7,060" and 0.

parseSocketAddress in base now serves both.

--- a/src/registry/AnnouncementJson.cpp
+++ b/src/registry/AnnouncementJson.cpp
@@ -2,12 +2,12 @@
 
 #include "celeryline/base/EditDistance.h"
 #include "celeryline/base/Error.h"
+#include "celeryline/base/SocketAddress.h"
 #include "celeryline/labels/Selector.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Object.h>
 #include <Poco/JSON/Parser.h>
-#include <Poco/Net/IPAddress.h>
 
 #include <algorithm>
 #include <sstream>
@@ -168,19 +168,7 @@
 
 void checkAddress(const std::string& address)
 {
-    auto colon = address.rfind(':');
-    std::string host = address.substr(0, colon);
-    std::string port = colon == std::string::npos ? "" : address.substr(colon + 1);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        host = host.substr(1, host.size() - 2);
-    } else if (host.find(':') != std::string::npos) {
-        host.clear(); // An IPv6 address without brackets: the port separator is ambiguous.
-    }
-    Poco::Net::IPAddress parsed;
-    bool isPort = !port.empty() && port.size() <= 5
-        && std::all_of(port.begin(), port.end(), [](char c) { return c >= '0' && c <= '9'; });
-    int number = isPort ? std::stoi(port) : 0;
-    if (!Poco::Net::IPAddress::tryParse(host, parsed) || number < 1 || number > 65535) {
+    if (!parseSocketAddress(address)) {
         throwInvalidField("address", "is \"" + address + "\"",
             R"(give the IP address and port of its HTTP listener, such as "10.1.2.3:8080" or "[fd00::1]:8080")");
     }
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -1,16 +1,13 @@
 #include "celeryline/rpc/ControlLink.h"
 
+#include "celeryline/base/SocketAddress.h"
 #include "celeryline/base/SocketOptions.h"
 #include "celeryline/rpc/ControlConversion.h"
 #include "celeryline/rpc/PackedStream.h"
 #include "celeryline/settings/Logging.h"
 
-#include <Poco/Net/IPAddress.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/NumberParser.h>
 #include <capnp/rpc-twoparty.h>
 
-#include <algorithm>
 #include <utility>
 
 namespace celeryline {
@@ -30,20 +27,12 @@
 
 kj::Duration toKj(Millis time) { return time.count * kj::MILLISECONDS; }
 
-/// Parses "IP:port" without a lookup of names, which would block the event loop.
-/// @throws kj::Exception if the text is anything else.
-kj::Own<kj::NetworkAddress> parseAddress(kj::Network& network, const std::string& text)
+/// @throws kj::Exception if the text isn't a socket address.
+kj::Own<kj::NetworkAddress> networkAddress(kj::Network& network, const std::string& text)
 {
-    constexpr unsigned maxPort = 65535;
-    auto colon = std::min(text.rfind(':'), text.size());
-    Poco::Net::IPAddress ip;
-    unsigned port = 0;
-    KJ_REQUIRE(Poco::Net::IPAddress::tryParse(text.substr(0, colon), ip)
-            && Poco::NumberParser::tryParseUnsigned(text.substr(std::min(colon + 1, text.size())), port)
-            && port <= maxPort,
-        "the address of a control process must be IP:port", text.c_str());
-    Poco::Net::SocketAddress address(ip, static_cast<std::uint16_t>(port));
-    return network.getSockaddr(address.addr(), address.length());
+    auto address = parseSocketAddress(text);
+    KJ_REQUIRE(address.has_value(), "the address of a control process must be IP:port", text.c_str());
+    return network.getSockaddr(address->addr(), address->length());
 }
 
 } // namespace
@@ -119,7 +108,7 @@
 {
     auto retryDelay = m_timer.atTime(kj::max(m_retryAt, m_timer.now()));
     auto stream = retryDelay.then([this] {
-        auto address = parseAddress(m_network, m_address);
+        auto address = networkAddress(m_network, m_address);
         return m_timer.timeoutAfter(connectTimeout, address->connect()).attach(kj::mv(address));
     });
     m_connecting = stream
