Refuse malformed addresses in introductions

An introduction with an address that isn't "IP:port" no longer ends a process, but the address stayed among the known ones: it was tried every 250 ms to 2 s, passed on to all others, and tracked by the leader as a learner, until each process was restarted.

LeaderClient::addAddresses now ignores malformed addresses and logs the first 16 as malformed-address, each once and cut at 64 bytes. ControlNode takes no peer from an introduction whose sender's address is malformed; well-formed members of it are still learned. LeaderSearch doesn't take a malformed address as the leader's.

Before: "A control process doesn't learn malformed addresses from introductions" failed with seven members instead of two, and "Malformed addresses in responses aren't queried" with four addresses instead of one. Now both pass; "[base],[control],[registry],[platform]" passes with 10069 assertions in 70 cases.

--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -47,7 +48,8 @@
     /// @param addresses the initially known control processes.
     LeaderClient(ControlLinks& links, std::vector<std::string> addresses);
 
-    /// Adds control processes; known addresses are ignored.
+    /// Adds control processes; known and malformed addresses are ignored. The first malformed ones are
+    /// logged.
     void addAddresses(const std::vector<std::string>& addresses);
 
     void setLeader(const std::string& address) { m_leader = address; }
@@ -95,12 +97,14 @@
     };
 
     Millis now() const;
+    void logMalformedAddress(const std::string& address);
     ForwardedResponse makeUnansweredResponse(const PendingRequest& pending) const;
     kj::Promise<ForwardedResponse> sendToTarget(const std::shared_ptr<PendingRequest>& pending);
     kj::Promise<ForwardedResponse> retryLater(const std::shared_ptr<PendingRequest>& pending);
 
     ControlLinks& m_links;
     std::vector<std::string> m_addresses;
+    std::set<std::string> m_loggedMalformed; ///< Malformed addresses that were logged.
     std::string m_leader;
     std::size_t m_nextAddress = 0;
     RefusalPolicy m_refusalPolicy;
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -1,5 +1,6 @@
 #include "celeryline/control/ControlNode.h"
 
+#include "celeryline/base/SocketAddress.h"
 #include "celeryline/consensus/LogFormation.h"
 #include "celeryline/consensus/VoterReplacement.h"
 #include "celeryline/control/ReplicaNames.h"
@@ -109,8 +110,9 @@
 
 Introduction ControlNode::onIntroduction(const Introduction& other)
 {
-    if (!other.address.empty()) {
+    if (!other.address.empty())
         m_client.addAddresses({ other.address });
+    if (parseSocketAddress(other.address)) {
         if (!other.storageId.empty()) {
             m_log.addPeer(other.address);
             m_log.setLeaving(m_clock.now(), { other.address, other.storageId }, other.isLeaving);
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -1,6 +1,8 @@
 #include "celeryline/control/LeaderClient.h"
 
+#include "celeryline/base/SocketAddress.h"
 #include "celeryline/control/ControlTimes.h"
+#include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
 
@@ -8,6 +10,9 @@
 namespace {
 
 constexpr kj::Duration retryDelay = 40 * kj::MILLISECONDS;
+/// Bounds the log lines and their length: other processes repeat their introductions many times a minute.
+constexpr std::size_t maxLoggedMalformed = 16;
+constexpr std::size_t maxLoggedAddressLength = 64; ///< In bytes.
 
 } // namespace
 
@@ -28,11 +33,25 @@
 void LeaderClient::addAddresses(const std::vector<std::string>& addresses)
 {
     for (const auto& address : addresses) {
-        if (std::find(m_addresses.begin(), m_addresses.end(), address) == m_addresses.end())
+        if (std::find(m_addresses.begin(), m_addresses.end(), address) != m_addresses.end())
+            continue;
+        if (parseSocketAddress(address)) {
             m_addresses.push_back(address);
+        } else {
+            logMalformedAddress(address);
+        }
     }
 }
 
+void LeaderClient::logMalformedAddress(const std::string& address)
+{
+    if (m_loggedMalformed.size() == maxLoggedMalformed)
+        return;
+    auto text = address.substr(0, maxLoggedAddressLength);
+    if (m_loggedMalformed.insert(text).second)
+        Event("malformed-address").with("address", text).writeAlways();
+}
+
 std::string LeaderClient::nextTarget()
 {
     if (!m_leader.empty())
--- a/src/control/LeaderSearch.cpp
+++ b/src/control/LeaderSearch.cpp
@@ -1,5 +1,6 @@
 #include "celeryline/control/LeaderSearch.h"
 
+#include "celeryline/base/SocketAddress.h"
 #include "celeryline/control/ControlTimes.h"
 #include "celeryline/settings/EventLog.h"
 #include "celeryline/settings/Logging.h"
@@ -91,7 +92,7 @@
     if (!reportedLeader.empty()) {
         // That process may have failed or be unreachable from here; only its own response confirms it.
         m_client.addAddresses({ reportedLeader });
-        if (m_client.leader().empty())
+        if (m_client.leader().empty() && parseSocketAddress(reportedLeader))
             m_client.setLeader(reportedLeader);
     }
     queryProcesses();
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -8,6 +8,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 using namespace celeryline;
 using namespace celeryline::test;
@@ -158,6 +159,30 @@
     CHECK(single.waitFor([&] { return isCommitted; }));
 }
 
+// Guards against malformed addresses that stay known: each process tried them and passed them on to the
+// others until its restart.
+TEST_CASE("A control process doesn't learn malformed addresses from introductions", "[control]")
+{
+    constexpr Millis introductionTimeout { 1000 };
+    const std::string wellFormed = "127.0.0.1:1";
+    MemoryFileSystem files;
+    auto io = kj::setupAsyncIo();
+    const ReservedAddress reserved;
+    SingleNode single(io, files, reserved.text(), true);
+    ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
+    auto& link = links.to(reserved.text());
+    Introduction malformed;
+    malformed.address = "not an address";
+    malformed.storageId = "storage";
+    malformed.members = { "", "127.0.0.1:99999", "host.invalid:7060", wellFormed, "10.0.0.1:port" };
+    malformed.members.push_back("\xff\xfe:1"); // Not UTF-8.
+    malformed.members.push_back(std::string(63, 'x') + "\xc3\xa9:1"); // The log line cuts a character.
+    malformed.members.push_back(std::string(100000, 'y'));
+    auto answer = link.introduce(malformed, introductionTimeout).wait(io.waitScope);
+    REQUIRE(answer.hasResult);
+    CHECK(answer.result.members == std::vector<std::string> { reserved.text(), wellFormed });
+}
+
 namespace {
 
 /// Commits a job, on a disk that has just become full.
--- a/test/LeaderSearchTest.cpp
+++ b/test/LeaderSearchTest.cpp
@@ -175,6 +175,21 @@
     REQUIRE(entry.send("POST").response.status == 200);
 }
 
+// Guards against a search that queries malformed addresses for as long as the process runs.
+TEST_CASE("Malformed addresses in responses aren't queried", "[control]")
+{
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
+    EntryFixture entry({ address });
+    auto follower = makeLeader(address);
+    follower.introduction.leader = "not an address";
+    follower.introduction.members = { "10.0.0.1", "", address };
+    ControlServer server(entry.timer(), entry.network(), address, follower);
+    entry.runFor(refuseAfter);
+    REQUIRE(entry.client.addresses() == std::vector<std::string> { address });
+    REQUIRE(entry.client.leader().empty());
+}
+
 // Guards against status 503 for a request that may have been executed, which tells the caller that it wasn't.
 TEST_CASE("A request that may have been executed isn't refused while no leader responds", "[control]")
 {
