Share the cluster of the tests of ElectionLog and VoterLog

Both tests had a struct of their own that runs a cluster until it has had a leader for a second and collects the log lines of its replicas. It is now the template LoggedCluster in a header; the cases are unchanged.

--- a/test/ElectionLogTest.cpp
+++ b/test/ElectionLogTest.cpp
@@ -1,45 +1,23 @@
 #include "celeryline/control/ElectionLog.h"
 
-#include "EventLines.h"
-#include "VoterCluster.h"
+#include "LoggedCluster.h"
 
 #include <catch2/catch.hpp>
 
 using namespace celeryline;
-using celeryline::test::collect;
-using celeryline::test::EventLine;
 using celeryline::test::linesNamed;
-using celeryline::test::VoterCluster;
+using celeryline::test::LoggedCluster;
 
 namespace {
 
-/// A cluster of which each replica has an ElectionLog.
-struct LoggedCluster {
-    LoggedCluster()
-        : cluster({ "a", "b", "c" })
-    {
-        cluster.onTick = [this] { observe(); };
-        REQUIRE_FALSE(cluster.runUntilLeader().empty());
-        cluster.run({ 1000 });
-    }
-
-    void observe()
-    {
-        for (const auto& [name, core] : cluster.cores())
-            collect(lines, name, logs[name].observe(*core, cluster.now()));
-    }
-
-    VoterCluster cluster;
-    std::map<std::string, ElectionLog> logs;
-    std::vector<EventLine> lines;
-};
+const std::vector<std::string> founders { "a", "b", "c" };
 
 } // namespace
 
 // Guards against the log of the incident: a minute without a leader, and no line that says whose votes lack.
 TEST_CASE("An election that doesn't end is logged with the missing voters", "[control]")
 {
-    LoggedCluster logged;
+    LoggedCluster<ElectionLog> logged(founders);
     auto& cluster = logged.cluster;
     REQUIRE(linesNamed(logged.lines, "election-stalled").empty());
     auto candidate = cluster.follower();
@@ -70,7 +48,7 @@
 // the candidate.
 TEST_CASE("The refusing replica logs its reason at a bounded rate", "[control]")
 {
-    LoggedCluster logged;
+    LoggedCluster<ElectionLog> logged(founders);
     auto& cluster = logged.cluster;
     auto leader = cluster.leader();
     auto replaced = cluster.follower();
@@ -96,7 +74,7 @@
 // if all that remain are learners.
 TEST_CASE("A replica without a vote logs that it has no leader to follow", "[control]")
 {
-    LoggedCluster logged;
+    LoggedCluster<ElectionLog> logged(founders);
     auto& cluster = logged.cluster;
     cluster.start("d");
     cluster.run({ 1000 });
@@ -116,11 +94,11 @@
 // Guards against a count of elections that starts anew after a storage error, which a counter can't do.
 TEST_CASE("Rounds are counted on when the replica is opened again", "[control]")
 {
-    LoggedCluster before;
+    LoggedCluster<ElectionLog> before(founders);
     auto name = before.cluster.follower();
     before.cluster.isolate(name);
     before.cluster.run({ 5000 });
-    LoggedCluster after;
+    LoggedCluster<ElectionLog> after(founders);
     after.cluster.isolate(name);
     after.cluster.run({ 2000 });
     auto rounds = before.cluster.core(name).electionRounds();
--- a/test/VoterLogTest.cpp
+++ b/test/VoterLogTest.cpp
@@ -1,51 +1,22 @@
 #include "celeryline/control/VoterLog.h"
 
-#include "EventLines.h"
-#include "VoterCluster.h"
+#include "LoggedCluster.h"
 #include "celeryline/control/ReplicaNames.h"
 
 #include <catch2/catch.hpp>
 
 using namespace celeryline;
-using celeryline::test::collect;
-using celeryline::test::EventLine;
 using celeryline::test::linesNamed;
 using celeryline::test::VoterCluster;
 
 namespace {
 
 /// A cluster of which each replica has a VoterLog.
-struct LoggedCluster {
+struct LoggedCluster : test::LoggedCluster<VoterLog> {
     explicit LoggedCluster(const std::vector<std::string>& founders)
-        : cluster(founders)
+        : test::LoggedCluster<VoterLog>(founders, VoterLog(VoterCluster::electionTimeout))
     {
-        cluster.onTick = [this] { observe(); };
-        REQUIRE_FALSE(cluster.runUntilLeader().empty());
-        cluster.run({ 1000 });
     }
-
-    void observe()
-    {
-        for (const auto& [name, core] : cluster.cores()) {
-            auto& log = logs.try_emplace(name, VoterCluster::electionTimeout).first->second;
-            collect(lines, name, log.observe(*core, cluster.now()));
-        }
-    }
-
-    /// @return the lines of one replica with a name, in order.
-    std::vector<EventLine> linesOf(const std::string& instance, const std::string& event) const
-    {
-        std::vector<EventLine> found;
-        for (const auto& line : linesNamed(lines, event)) {
-            if (line.instance == instance)
-                found.push_back(line);
-        }
-        return found;
-    }
-
-    VoterCluster cluster;
-    std::map<std::string, VoterLog> logs;
-    std::vector<EventLine> lines;
 };
 
 } // namespace
