Share the tests' shortage of descriptors

The tests of the control port and of the HTTP port connected during a shortage of descriptors with the same lines. connectDuringShortage in DescriptorLimit.h now does it for both. It returns the client, so that its connection stays open during the check, as it did before.

--- a/test/ControlServerTest.cpp
+++ b/test/ControlServerTest.cpp
@@ -158,14 +158,7 @@
 // moment.
 TEST_CASE("The control port accepts connections again after descriptors ran out", "[rpc]")
 {
-    constexpr Millis shortage { 300 };
     ServerFixture f;
-    RawClient waiting(f.address.text()); // Needs its descriptor before the shortage.
-    {
-        const DescriptorLimit none(0);
-        waiting.connect();
-        f.timer.afterDelay(shortage.count * kj::MILLISECONDS).wait(f.io.waitScope);
-    }
-    f.timer.afterDelay(shortage.count * kj::MILLISECONDS).wait(f.io.waitScope);
+    const auto waiting = connectDuringShortage(f.io, f.address.text());
     CHECK(f.canCall());
 }
--- a/test/DescriptorLimit.h
+++ b/test/DescriptorLimit.h
@@ -2,9 +2,14 @@
 /// The process's file descriptors, as seen and limited by a test.
 #pragma once
 
+#include "RawConnection.h"
+
+#include <kj/async-io.h>
+
 #include <cstddef>
 #include <filesystem>
 #include <stdexcept>
+#include <string>
 
 #include <sys/resource.h>
 
@@ -43,4 +48,22 @@
     rlimit m_before {};
 };
 
+/// Connects to a port of this process while it can open no descriptor, and leaves time before and after the
+/// descriptors are available again.
+/// @param address "IP:port" of the listener.
+/// @return the client, which is still connected.
+[[nodiscard]] inline RawClient connectDuringShortage(kj::AsyncIoContext& io, const std::string& address)
+{
+    constexpr kj::Duration waitTime = 300 * kj::MILLISECONDS;
+    auto& timer = io.provider->getTimer();
+    RawClient client(address); // Needs its descriptor before the shortage.
+    {
+        const DescriptorLimit none(0);
+        client.connect();
+        timer.afterDelay(waitTime).wait(io.waitScope);
+    }
+    timer.afterDelay(waitTime).wait(io.waitScope);
+    return client;
+}
+
 } // namespace celeryline::test
--- a/test/platform/HttpListenerTest.cpp
+++ b/test/platform/HttpListenerTest.cpp
@@ -134,14 +134,7 @@
 // moment.
 TEST_CASE("An HTTP port accepts connections again after descriptors ran out", "[platform]")
 {
-    constexpr Millis shortage { 300 };
     ListenerFixture f;
-    RawClient waiting(f.address.text()); // Needs its descriptor before the shortage.
-    {
-        const DescriptorLimit none(0);
-        waiting.connect();
-        f.runFor(shortage);
-    }
-    f.runFor(shortage);
+    const auto waiting = connectDuringShortage(f.io, f.address.text());
     CHECK(f.canCall());
 }
