--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -165,6 +165,8 @@
 
     // Followers (RaftFollower.cpp)
     void acceptLeader(const RaftMessage& message);
+    /// Informs the leader that this replica has replaced the one that it knows.
+    void rejectForOtherStorageId(const RaftMessage& message);
     void onAppend(const RaftMessage& message);
     void appendReceived(const std::vector<LogEntry>& entries);
 
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -97,13 +97,7 @@
                 onSnapshot(message);
             }
         } else if (message.term >= m_term.term) {
-            // Informs the leader that this replica has replaced the one it knows.
-            auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
-            reply.term = message.term;
-            reply.rejected = true;
-            reply.logIndex = m_log.lastIndex();
-            reply.sequence = message.sequence;
-            send(std::move(reply));
+            rejectForOtherStorageId(message);
         }
         break;
     case RaftMessageKind::AppendReply:
@@ -121,6 +115,16 @@
     }
 }
 
+void RaftCore::rejectForOtherStorageId(const RaftMessage& message)
+{
+    auto reply = makeMessage(RaftMessageKind::AppendReply, message.from);
+    reply.term = message.term;
+    reply.rejected = true;
+    reply.logIndex = m_log.lastIndex();
+    reply.sequence = message.sequence;
+    send(std::move(reply));
+}
+
 std::uint64_t RaftCore::propose(Millis now, Millis wallTime, const std::vector<std::string>& payloads)
 {
     advanceTime(now);
