Show that replaced voters can gather in one data centre

What callers would see: no leader while a data centre is cut off, although the loss of one data centre is to be survived, after another one had been cut off before it.

Cause: the leader promotes the first learner that has caught up, by address, and doesn't know where replicas are. Where a data centre has more control machines than may be lost, as after machines were added to a system of three, the voter of a data centre that is cut off is replaced by a machine beside another voter, and nothing moves it back when the cut ends.

Seen: of nine pairs of data centres cut off one after the other (six machines, three voters, the second cut after the first one no longer counts as a loss) three have no leader during the second cut: 0 then 1, 1 then 0, 2 then 0.

--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -283,6 +283,27 @@
     REQUIRE(findProblem(series) == noProblem);
 }
 
+// Guards against two voters in one data centre although each could have one: while a data centre was cut
+// off, its voter was replaced by a machine beside another voter, and the loss of both left no majority.
+TEST_CASE("Any data centre may be lost after another one was", "[consensus][replacement][known-red]")
+{
+    constexpr std::int64_t cutTime = 5500;
+    const ClusterSize sixMachines { 6, 3 };
+    // The first three are the founders.
+    const std::vector<std::string> dataCentres[] = { { "v0", "v3" }, { "v1", "v4" }, { "v2", "v5" } };
+    auto first = GENERATE(0, 1, 2);
+    auto second = GENERATE(0, 1, 2);
+    CAPTURE(first, second);
+    ReplacementSeries series(1, sixMachines);
+    for (auto lost : { first, second }) {
+        for (const auto& name : dataCentres[lost])
+            series.isolateFor(name, cutTime);
+        CHECK(series.commitsWithin(maxElectionTime(controlElectionTimeout).count));
+        series.runUntilNoneLost();
+    }
+    REQUIRE(findProblem(series) == noProblem);
+}
+
 // Guards against a voter set that takes in machines which shut down as well, when all get SIGTERM.
 TEST_CASE("All machines shut down and come back", "[consensus][replacement]")
 {
