Spread voters over data centres

Cause: the leader took the first learner by address and didn't know where replicas are, so that a voter that was only cut off was replaced by a machine beside another voter for good.

Change: introductions name the data centre. Of the learners that have caught up, the leader takes the one beside the fewest voters. When the set is complete and a learner would share its data centre with fewer voters than a voter does, it takes the place of that voter, as for a lost one: added first, then the other one is removed, one change at a time. Each such exchange evens out the numbers, so that they end. Replicas whose data centre is unknown are treated as before.

The introduction has one more field at its end; an older process ignores it.

--- a/include/celeryline/consensus/LogDriver.h
+++ b/include/celeryline/consensus/LogDriver.h
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -107,6 +108,8 @@
     void receive(Millis now, const RaftMessage& message);
     bool form(const LogEntry& entry);
     void addPeer(const std::string& name);
+    /// See RaftCore::setDataCentre().
+    void setDataCentre(const std::string& name, const std::string& dataCentre);
     /// See RaftCore::setLeaving().
     void setLeaving(Millis now, const ReplicaId& replica, bool isLeaving);
     bool transferLeadership(Millis now);
@@ -148,6 +151,7 @@
     ReplicatedStateMachine& m_stateMachine;
     std::unique_ptr<RaftStorage> m_storage;
     ReplicaId m_self;
+    std::map<std::string, std::string> m_dataCentres; ///< By name of the replica.
     std::unique_ptr<RaftCore> m_core;
     RaftOutput m_output;
     bool m_hasWork = true;
--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -71,6 +71,11 @@
     /// announcement is valid for a limited time.
     void setLeaving(Millis now, const ReplicaId& replica, bool isLeaving);
 
+    /// With `voterTarget`, the leader spreads the voters over data centres as far as learners permit.
+    /// @param name a replica's name; this replica's as well.
+    /// @param dataCentre its data centre; empty if unknown.
+    void setDataCentre(const std::string& name, const std::string& dataCentre);
+
     /// Transfers leadership to the most up-to-date voter. The leader rejects proposals from then on.
     /// @return whether a voter is available as target.
     bool transferLeadership(Millis now);
@@ -195,6 +200,11 @@
     bool removeReplacedVoter();
     void promoteConfiguredVoter();
     void maintainVoterTarget();
+    /// @return how many other voters are in the same data centre as a replica; 0 if that is unknown.
+    std::size_t votersBeside(const std::string& name, const std::vector<ReplicaId>& voters) const;
+    const detail::ReplicaState* bestLearner(const std::vector<ReplicaId>& remainingVoters) const;
+    std::vector<ReplicaId>::const_iterator redundantVoter(const std::vector<ReplicaId>& voters) const;
+    bool improvesSpread(const ReplicaId& learner, const std::vector<ReplicaId>& voters) const;
     void trackPeer(const std::string& name);
     void continueTransfer();
     Millis quorumContactTime() const;
@@ -232,6 +242,7 @@
     VoteRefusal m_lastVoteRefusal;
     std::uint64_t m_leaderCommitIndex = 0; ///< Highest commit index that a leader has reported.
 
+    std::map<std::string, std::string> m_dataCentres; ///< By name, as far as they are known.
     std::map<ReplicaId, Millis> m_leavingUntil; ///< Replicas that announced their shutdown.
     std::map<std::string, detail::ReplicaState> m_replicas; ///< By name; used on the leader only.
     Millis m_leadingSince;
--- a/include/celeryline/consensus/VoterSetStatus.h
+++ b/include/celeryline/consensus/VoterSetStatus.h
@@ -21,6 +21,7 @@
     VoterLeaving, ///< A learner was added in place of a voter that announced its shutdown.
     LostVoterRemoved, ///< There were too many voters, and one of them had no contact.
     TooManyVoters, ///< There were too many voters, all of them in contact.
+    DataCentreShared, ///< A learner was added in a data centre with fewer voters than another one.
     TooFewVoters, ///< A learner caught up while there were too few voters.
     ConfiguredVoter, ///< A learner caught up that the settings name as voter.
     Requested ///< The caller of RaftCore::changeConfiguration() requested it.
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -41,6 +41,7 @@
     std::vector<std::string> seeds; ///< RPC addresses of known control processes.
     bool isFirstStart = false; ///< Set on the first start of the whole system, when a log is formed.
     std::size_t voters = 3; ///< Number of voting replicas; 2n + 1 voters tolerate the loss of n disks.
+    std::string dataCentre; ///< Empty if unknown.
     std::string directory; ///< Data directory.
     Millis heartbeat { 100 }; ///< Interval of the leader's Raft heartbeats.
     Millis electionTimeout = controlElectionTimeout; ///< Minimum election timeout.
--- a/include/celeryline/membership/Introduction.h
+++ b/include/celeryline/membership/Introduction.h
@@ -15,6 +15,7 @@
     bool hasLog = false; ///< Whether its storage contains any log entry or snapshot.
     std::string formation; ///< Encoded first log entry if the log contains nothing else; otherwise empty.
     std::string leader; ///< Address of the leader; empty if unknown.
+    std::string dataCentre; ///< Empty if unknown.
     bool isLeaving = false; ///< Whether the process is shutting down.
     std::vector<std::string> members; ///< Addresses of all known replicas.
 };
--- a/src/consensus/LogDriver.cpp
+++ b/src/consensus/LogDriver.cpp
@@ -31,6 +31,8 @@
         m_stateMachine.restoreSnapshot(recovered.snapshot.state);
     m_core = std::make_unique<RaftCore>(
         m_options.raft, recovered.term, recovered.snapshot, recovered.entries, now);
+    for (const auto& [name, dataCentre] : m_dataCentres)
+        m_core->setDataCentre(name, dataCentre);
     m_failure.clear();
     m_hasWork = true;
 }
@@ -229,6 +231,13 @@
     m_core->addPeer(name);
 }
 
+void LogDriver::setDataCentre(const std::string& name, const std::string& dataCentre)
+{
+    // Kept for the RaftCore that is created after a storage error.
+    m_dataCentres[name] = dataCentre;
+    m_core->setDataCentre(name, dataCentre);
+}
+
 void LogDriver::setLeaving(Millis now, const ReplicaId& replica, bool isLeaving)
 {
     m_core->setLeaving(now, replica, isLeaving);
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -293,28 +293,29 @@
     if (voters.size() > m_options.voterTarget) {
         auto reason = VoterChangeReason::LostVoterRemoved;
         if (lost == voters.end()) {
-            // The lost voter returned before it was removed.
-            lost = voters.back() == m_options.self ? voters.end() - 2 : voters.end() - 1;
+            // The lost voter returned before it was removed, or another data centre got a voter.
+            lost = voters.begin() + std::distance(voters.cbegin(), redundantVoter(voters));
             reason = VoterChangeReason::TooManyVoters;
         }
         voters.erase(lost);
         changeVoters(changed, reason, lostVoter);
         return;
     }
-    if (voters.size() == m_options.voterTarget && lost == voters.end())
+    auto remaining = voters;
+    remaining.erase(std::remove(remaining.begin(), remaining.end(), lostVoter), remaining.end());
+    const auto* learner = bestLearner(remaining);
+    if (learner == nullptr)
         return;
-    for (const auto& [name, replica] : m_replicas) {
-        // The new voter is added before the lost one is removed, so that a majority never relies on fewer
-        // disks.
-        if (changed.find(name) != nullptr || !isCaughtUp(replica))
-            continue;
-        voters.push_back(replica.id);
-        auto reason = lostVoter.name.empty() ? VoterChangeReason::TooFewVoters
-            : isLeaving(lostVoter)           ? VoterChangeReason::VoterLeaving
-                                             : VoterChangeReason::VoterLost;
-        changeVoters(changed, reason, lostVoter);
+    bool isComplete = voters.size() == m_options.voterTarget && lost == voters.end();
+    if (isComplete && !improvesSpread(learner->id, voters))
         return;
-    }
+    // The new voter is added before the lost one is removed, so that a majority never relies on fewer disks.
+    voters.push_back(learner->id);
+    auto reason = isComplete     ? VoterChangeReason::DataCentreShared
+        : lostVoter.name.empty() ? VoterChangeReason::TooFewVoters
+        : isLeaving(lostVoter)   ? VoterChangeReason::VoterLeaving
+                                 : VoterChangeReason::VoterLost;
+    changeVoters(changed, reason, lostVoter);
 }
 
 void RaftCore::addPeer(const std::string& name)
--- a/src/consensus/VoterSetStatus.cpp
+++ b/src/consensus/VoterSetStatus.cpp
@@ -17,6 +17,8 @@
         return "lost-voter-removed";
     case VoterChangeReason::TooManyVoters:
         return "too-many-voters";
+    case VoterChangeReason::DataCentreShared:
+        return "data-centre-shared";
     case VoterChangeReason::TooFewVoters:
         return "too-few-voters";
     case VoterChangeReason::ConfiguredVoter:
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -37,6 +37,7 @@
     m_client.addAddresses(m_options.seeds);
     for (const auto& voter : m_log.core().log().configuration().voters)
         m_client.addAddresses({ voter.name });
+    m_log.setDataCentre(m_options.address, m_options.dataCentre);
     warnIfReplacementIsTooSlow();
     scheduleTick();
     scheduleIntroductions();
@@ -113,6 +114,7 @@
         m_client.addAddresses({ other.address });
         if (!other.storageId.empty()) {
             m_log.addPeer(other.address);
+            m_log.setDataCentre(other.address, other.dataCentre);
             m_log.setLeaving(m_clock.now(), { other.address, other.storageId }, other.isLeaving);
         }
         m_formation.recordPeer(other);
@@ -139,6 +141,7 @@
         own.formation = encodeFormation(*entry);
     own.leader = leader();
     own.isLeaving = m_isLeaving;
+    own.dataCentre = m_options.dataCentre;
     own.members = m_client.addresses();
     return own;
 }
--- a/src/rpc/Control.capnp
+++ b/src/rpc/Control.capnp
@@ -15,6 +15,7 @@
   members @5 :List(Text);
   isLeaving @6 :Bool;
   # Whether the sender is shutting down.
+  dataCentre @7 :Text;
 }
 
 struct ForwardedRequest {
--- a/src/rpc/Control.capnp.h
+++ b/src/rpc/Control.capnp.h
@@ -45,7 +45,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(94ede7ceecd69632, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(94ede7ceecd69632, 1, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -233,6 +233,9 @@
 
   inline bool getIsLeaving() const;
 
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -303,6 +306,13 @@
   inline bool getIsLeaving();
   inline void setIsLeaving(bool value);
 
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1301,6 +1311,40 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Introduction::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool Introduction::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Introduction::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Introduction::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void Introduction::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Introduction::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void Introduction::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Introduction::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline bool ForwardedRequest::Reader::hasMethod() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/rpc/ControlConversion.cpp
+++ b/src/rpc/ControlConversion.cpp
@@ -12,6 +12,7 @@
     to.setFormation(kjBytes(from.formation));
     to.setLeader(kjText(from.leader));
     to.setIsLeaving(from.isLeaving);
+    to.setDataCentre(kjText(from.dataCentre));
     auto members = to.initMembers(static_cast<unsigned>(from.members.size()));
     for (unsigned i = 0; i < members.size(); ++i)
         members.set(i, kjText(from.members[i]));
@@ -26,6 +27,7 @@
     introduction.formation = bytes(from.getFormation());
     introduction.leader = text(from.getLeader());
     introduction.isLeaving = from.getIsLeaving();
+    introduction.dataCentre = text(from.getDataCentre());
     for (auto member : from.getMembers())
         introduction.members.push_back(text(member));
     return introduction;
--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -29,6 +29,8 @@
         links.to(address).introduce({}, { 1000 }).wait(io.waitScope);
     }
 
+    static constexpr const char* dataCentre = "centre";
+
     ControlNode& node() { return m_node; }
 
     /// Runs the event loop until a condition holds or a timeout expires.
@@ -47,6 +49,7 @@
     {
         ControlNodeOptions options;
         options.address = address;
+        options.dataCentre = dataCentre;
         options.seeds = { address };
         options.isFirstStart = isFirstStart;
         options.voters = 1;
@@ -122,7 +125,9 @@
     SingleNode single(io, files, reserved.text(), true);
     ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
     auto& link = links.to(reserved.text());
-    CHECK_FALSE(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
+    auto introduction = link.introduce({}, introductionTimeout).wait(io.waitScope).result;
+    CHECK_FALSE(introduction.isLeaving);
+    CHECK(introduction.dataCentre == SingleNode::dataCentre);
     single.node().resign();
     CHECK(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
 }
--- a/test/RaftSimulation.h
+++ b/test/RaftSimulation.h
@@ -113,6 +113,7 @@
     std::uint64_t randomBelow(std::uint64_t limit) { return m_random() % limit; }
 
     RaftOptions raft; ///< Options of all nodes; their names, peers and seeds are set by the simulation.
+    std::map<std::string, std::string> dataCentres; ///< By name; empty for nodes without one.
     std::int64_t tickInterval = 5; ///< In milliseconds.
     NetworkFaults network;
     std::uint64_t snapshotEntries = 50;
@@ -137,6 +138,7 @@
     void initializeAddresses(Node& node);
     void introduce(Node& node);
     void meet(Node& node, const Node& other);
+    std::string dataCentreOf(const std::string& name) const;
     template <typename Action> void runWithFaults(Node& node, Action action);
     Millis timeOf(const Node& node) const { return { m_now + node.clockOffset }; }
 
--- a/test/RaftSimulationMembers.cpp
+++ b/test/RaftSimulationMembers.cpp
@@ -101,9 +101,17 @@
     }
 }
 
+std::string RaftSimulation::dataCentreOf(const std::string& name) const
+{
+    auto found = dataCentres.find(name);
+    return found == dataCentres.end() ? "" : found->second;
+}
+
 void RaftSimulation::meet(Node& node, const Node& other)
 {
     node.core->addPeer(other.name);
+    node.core->setDataCentre(node.name, dataCentreOf(node.name));
+    node.core->setDataCentre(other.name, dataCentreOf(other.name));
     node.addresses.insert(other.name);
     node.addresses.insert(other.addresses.begin(), other.addresses.end());
     process(node);
--- a/test/VoterReplacementTest.cpp
+++ b/test/VoterReplacementTest.cpp
@@ -284,10 +284,13 @@
 }
 
 // Guards against two voters in one data centre although each could have one: while a data centre was cut
-// off, its voter was replaced by a machine beside another voter, and the loss of both left no majority.
-TEST_CASE("Any data centre may be lost after another one was", "[consensus][replacement][known-red]")
+// off, its voter was replaced by a machine beside another voter, and then the loss of that one left no
+// majority.
+TEST_CASE("Any data centre may be lost after another one was", "[consensus][replacement]")
 {
     constexpr std::int64_t cutTime = 5500;
+    /// Time after which all machines know the data centres of the others.
+    constexpr std::int64_t introductionTime = 2500;
     const ClusterSize sixMachines { 6, 3 };
     // The first three are the founders.
     const std::vector<std::string> dataCentres[] = { { "v0", "v3" }, { "v1", "v4" }, { "v2", "v5" } };
@@ -295,6 +298,11 @@
     auto second = GENERATE(0, 1, 2);
     CAPTURE(first, second);
     ReplacementSeries series(1, sixMachines);
+    for (const auto& names : dataCentres) {
+        for (const auto& name : names)
+            series.simulation.dataCentres[name] = names.front();
+    }
+    series.run(introductionTime);
     for (auto lost : { first, second }) {
         for (const auto& name : dataCentres[lost])
             series.isolateFor(name, cutTime);
--- a/test/platform/PlatformSettingsTest.cpp
+++ b/test/platform/PlatformSettingsTest.cpp
@@ -9,12 +9,14 @@
 
 TEST_CASE("Platform settings are parsed", "[platform]")
 {
-    auto settings = parsePlatformSettings(R"({"node":"n","ip":"10.1.0.9","listen":{"control":"10.1.0.9:8623"},
+    auto settings = parsePlatformSettings(
+        R"({"node":"n","ip":"10.1.0.9","zone":"z","listen":{"control":"10.1.0.9:8623"},
         "internal_port_range":[7060,7075],"seeds":["10.1.0.12:8623"],"bootstrap":true,"data_dir":"/data/x",
         "fault_tolerance":{"machines":2,"zones":1},"bounds":{"grace_s":6.5,"lease_ms":2500,"move_s":1.5,"catchup_s":3.5},
         "cloud_api":{"addr":"10.200.0.1:80","duties":[]},"unknown":[1]})");
     REQUIRE(settings.rpcAddress() == "10.1.0.9:7060");
     REQUIRE(settings.seeds == std::vector<std::string> { "10.1.0.12:7060" });
+    REQUIRE(settings.dataCentre == "z");
     REQUIRE(settings.isFirstStart);
     REQUIRE(settings.dataDirectory == "/data/x");
     REQUIRE(settings.toleratedDiskLosses == 2);
