Merge the spread of voters over data centres

The tests of replacements are divided into series, searches with measures, and replacements of voters that are only away; what they share is in ReplacementSeries.

--- a/test/ControlNodeTest.cpp
+++ b/test/ControlNodeTest.cpp
@@ -30,6 +30,8 @@
         links.to(address).introduce({}, { 1000 }).wait(io.waitScope);
     }
 
+    static constexpr const char* dataCentre = "centre";
+
     ControlNode& node() { return m_node; }
 
     /// Runs the event loop until a condition holds or a timeout expires.
@@ -48,6 +50,7 @@
     {
         ControlNodeOptions options;
         options.address = address;
+        options.dataCentre = dataCentre;
         options.seeds = { address };
         options.isFirstStart = isFirstStart;
         options.voters = 1;
@@ -123,7 +126,9 @@
     SingleNode single(io, files, reserved.text(), true);
     ControlLinks links(io.provider->getTimer(), io.provider->getNetwork());
     auto& link = links.to(reserved.text());
-    CHECK_FALSE(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
+    auto introduction = link.introduce({}, introductionTimeout).wait(io.waitScope).result;
+    CHECK_FALSE(introduction.isLeaving);
+    CHECK(introduction.dataCentre == SingleNode::dataCentre);
     single.node().resign();
     CHECK(link.introduce({}, introductionTimeout).wait(io.waitScope).result.isLeaving);
 }
--- a/test/ReplacementSeries.cpp
+++ b/test/ReplacementSeries.cpp
@@ -12,6 +12,12 @@
 
 constexpr std::int64_t proposalInterval = 20; ///< In milliseconds.
 
+/// A leader commits entries this long after the last disturbance, in milliseconds.
+constexpr std::int64_t calmLimit = 5000;
+
+/// The voter set consists of live machines this long after the last machine counts as lost, in milliseconds.
+constexpr std::int64_t voterSetLimit = 5000;
+
 /// Time from the start of a successor to the graceful shutdown of its predecessor, and the duration of a
 /// shutdown, in milliseconds.
 constexpr std::int64_t plannedDelay = 2000;
@@ -250,4 +256,18 @@
     return text;
 }
 
+std::string findProblem(ReplacementSeries& series)
+{
+    auto isConverged = [&] { return series.simulation.isConverged(); };
+    auto problem = noProblem;
+    if (!series.commitsWithin(calmLimit)) {
+        problem = "no leader commits entries";
+    } else if (!series.hasTargetVotersWithin(voterSetLimit)) {
+        problem = "the voter set is incomplete or has a machine that isn't live";
+    } else if (!series.simulation.runUntil(isConverged, voterSetLimit)) { // Without further proposals.
+        problem = "the replicas don't converge";
+    }
+    return problem == noProblem ? noProblem : problem + ": " + series.describe();
+}
+
 } // namespace celeryline::test
--- a/test/ReplacementSeries.h
+++ b/test/ReplacementSeries.h
@@ -92,4 +92,17 @@
     int m_proposals = 0;
 };
 
+inline const ClusterSize threeMachines { 3, 3 };
+inline const ClusterSize fourMachines { 4, 3 };
+inline const ClusterSize eightMachines { 8, 5 };
+
+/// A successor usually starts this long after a machine was removed, in milliseconds.
+inline constexpr std::int64_t successorDelay = 300;
+
+/// Result of findProblem() if there is none.
+inline const std::string noProblem;
+
+/// @return why the cluster doesn't serve writes with a voter set of live machines; noProblem if it does.
+std::string findProblem(ReplacementSeries& series);
+
 } // namespace celeryline::test
