--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -15,6 +15,7 @@
 import tempfile
 import threading
 import time
+import traceback
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -22,6 +23,7 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2  # Exit codes of a case.
 TOO_LONG = -1
+MAX_SECONDS = 110  # A case may take 120 s.
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 HOST = "queue.example"
@@ -583,6 +585,16 @@
         time.sleep(0.02)
 
 
+def stop_in_time():
+    """Ends the case by an error when it is told to end or takes longer than a case may."""
+    def interrupt(number, frame):
+        raise CannotRun(f"ended by signal {number}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, interrupt)
+    signal.alarm(MAX_SECONDS)
+
+
 def play(case, scenario, fleet_type=Fleet, has_advice=False):
     """Plays a scenario(record, deployment, fleet) and exits with its result."""
     record = Record(os.path.join(case, "record.txt"))
@@ -590,6 +602,7 @@
     code = NOT_RUN
     record.note(f"the disruption is {'on' if HAS_TROUBLE else 'off'}")
     try:
+        stop_in_time()
         deployment = Deployment(record)
         deployment.has_advice = has_advice
         fleet = fleet_type(deployment)
@@ -602,7 +615,11 @@
     except CannotRun as error:
         record.note(f"the case could not run: {error}")
         print(error)
+    except Exception:  # An error of the case itself must not look like a broken rule.
+        record.note(f"the case could not run: {traceback.format_exc()}")
+        traceback.print_exc()
     finally:
+        signal.alarm(0)
         if deployment:
             deployment.close()
         if fleet:
