Log each call of the advice service and its answer

The log had no line for a call or its answer, so the possible causes couldn't be told apart.

advice-asked names the step, the number of runners and the calls in flight; advice-answered the outcome, the approved runners, the validity and the time from call to answer.

No logic changes.

--- a/src/jobs/JobEvents.cpp
+++ b/src/jobs/JobEvents.cpp
@@ -69,6 +69,24 @@
     return event;
 }
 
+Event describeStep(const char* name, const TaskName& step)
+{
+    Event event(name);
+    event.with("job", step.job.text()).with("occurrence", step.occurrence).with("step", step.step);
+    return event;
+}
+
+Event describeAnswer(const TaskName& step, const std::optional<PlacementAdvice>& advice, Millis duration)
+{
+    auto event = describeStep("advice-answered", step);
+    event.with("tookMs", duration);
+    if (!advice)
+        return event.with("outcome", "failed");
+    return event.with("outcome", "answered")
+        .with("approved", advice->tickets.size())
+        .with("validMs", advice->validFor);
+}
+
 Event describeCommand(const JobCommand& command)
 {
     if (const auto* submit = std::get_if<SubmitJob>(&command)) {
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -148,12 +148,17 @@
     auto now = m_clock().steady;
     m_adviceCache.markAsked(call.step, now);
     ++m_pendingAdviceCalls;
+    describeStep("advice-asked", call.step)
+        .with("runners", runners.size())
+        .with("calls", m_pendingAdviceCalls)
+        .write();
     m_advisor->ask(call.step, runners,
         [this, step = call.step, now, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
             if (term != m_log.term())
                 return;
             --m_pendingAdviceCalls;
             m_adviceCache.storeAnswer(step, advice, now, m_clock().steady);
+            describeAnswer(step, advice, m_clock().steady - now).write();
             m_mustPlan = true;
         });
 }
