Keep only one call of the advice service open

Cause: the leader kept four calls open, but the service takes the calls of a machine one by one. Tickets count from the call, so with four waiting steps each ticket was as old as four calls take: 3.6 s with a validity of 3 s. All answers were thrown away, and the steps were asked again, for ever.

Why it works: a call that is the only one of its machine isn't delayed by others, so its ticket is as old as the call itself takes. The service is no slower for it, because it works at one call at a time anyway.

Test: "A burst of steps starts at the rate of the advice service" runs bursts of 4, 12 and 200 steps against a simulated service. Before: with 4 steps two starts were refused because their ticket had expired, with 12 and 200 the steps had not all started when the time was over.

--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::int64_t fullRate = 100;
-/// The service handles one call at a time and rejects calls beyond a queue of a few dozen.
-constexpr std::size_t maxAdviceCalls = 4;
+/// The service handles one call at a time, so a second call would only wait there while its tickets expire.
+constexpr std::size_t maxAdviceCalls = 1;
 
 } // namespace
 
