Keep the durations of a queue's advice service

A queue's decide_ms, interval_ms and valid_ms were dropped when the configuration was decoded, so the leader couldn't know how long a call takes nor whether its tickets are of any use afterwards.

Stored configurations stay readable: a queue without these durations is stored as before (one byte), which a test checks.

No decision uses the durations yet. Tests: WireCodecTest and JobStoreTest, three cases, don't compile before.

--- a/include/celeryline/jobs/JobSerialization.h
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -49,10 +49,40 @@
     archive(value.period);
 }
 
-template <typename Archive> void serialize(Archive& archive, QueueSettings& value)
+template <typename Archive> void serialize(Archive& archive, AdviceTiming& value)
+{
+    archive(value.callDuration, value.durationPerRunner, value.validity);
+}
+
+namespace detail {
+
+/// How a queue's need for advice is stored. Entries and snapshots of earlier versions contain None and
+/// WithoutTiming, as false and true.
+enum class StoredAdvice : std::uint8_t { None, WithoutTiming, WithTiming };
+
+} // namespace detail
+
+template <typename Archive> void save(Archive& archive, const QueueSettings& value)
+{
+    archive(value.key, value.name, value.service, value.priority, value.attempts, value.stretch);
+    archive(value.objective, value.timeout);
+    bool hasTiming = value.adviceTiming != AdviceTiming {};
+    auto withAdvice = hasTiming ? detail::StoredAdvice::WithTiming : detail::StoredAdvice::WithoutTiming;
+    auto stored = value.needsAdvice ? withAdvice : detail::StoredAdvice::None;
+    archive(stored);
+    if (stored == detail::StoredAdvice::WithTiming)
+        archive(value.adviceTiming);
+}
+
+template <typename Archive> void load(Archive& archive, QueueSettings& value)
 {
     archive(value.key, value.name, value.service, value.priority, value.attempts, value.stretch);
-    archive(value.objective, value.timeout, value.needsAdvice);
+    archive(value.objective, value.timeout);
+    auto stored = detail::StoredAdvice::None;
+    archive(stored);
+    value.needsAdvice = stored != detail::StoredAdvice::None;
+    if (stored == detail::StoredAdvice::WithTiming)
+        archive(value.adviceTiming);
 }
 
 template <typename Archive> void serialize(Archive& archive, PoolSettings& value)
--- a/include/celeryline/jobs/QueueSettings.h
+++ b/include/celeryline/jobs/QueueSettings.h
@@ -10,6 +10,20 @@
 
 namespace celeryline {
 
+/// Durations of the advice service for the steps of a queue; all are 0 if unknown.
+struct AdviceTiming {
+    Millis callDuration; ///< Duration of a call without its runners.
+    Millis durationPerRunner; ///< Additional duration for each runner that a call names.
+    Millis validity; ///< Validity of the tickets.
+};
+
+inline bool operator==(const AdviceTiming& a, const AdviceTiming& b)
+{
+    return a.callDuration == b.callDuration && a.durationPerRunner == b.durationPerRunner
+        && a.validity == b.validity;
+}
+inline bool operator!=(const AdviceTiming& a, const AdviceTiming& b) { return !(a == b); }
+
 /// A queue of jobs.
 struct QueueSettings {
     std::string key; ///< Host and path prefix by which callers address the queue.
@@ -21,6 +35,7 @@
     Millis objective; ///< Constant part of the objective.
     Millis timeout; ///< Timeout of a caller's request.
     bool needsAdvice = false; ///< A step may run only on runners that the advice service approves.
+    AdviceTiming adviceTiming; ///< Only of use if needsAdvice.
 };
 
 /// A pool of runners.
--- a/test/JobStoreTest.cpp
+++ b/test/JobStoreTest.cpp
@@ -259,6 +259,36 @@
     REQUIRE(restored.takeSnapshot() == store.takeSnapshot());
 }
 
+// Guards against a replica that can't read configurations that its previous version wrote, in which a queue's
+// need for advice is one byte.
+TEST_CASE("A configuration from before the durations of advice can be read", "[jobs]")
+{
+    auto configuration = makeConfiguration(2);
+    configuration.queues.front().needsAdvice = true;
+    auto withoutTiming = encodeJobCommand(AcceptConfiguration { configuration });
+    configuration.queues.front().needsAdvice = false;
+    auto withoutAdvice = encodeJobCommand(AcceptConfiguration { configuration });
+    REQUIRE(withoutTiming.size() == withoutAdvice.size());
+    auto decoded = std::get<AcceptConfiguration>(decodeJobCommand(withoutTiming));
+    REQUIRE(decoded.configuration.queues.front().needsAdvice);
+    REQUIRE(decoded.configuration.queues.front().adviceTiming == AdviceTiming {});
+}
+
+// Guards against a new leader that knows nothing of how long the advice service takes.
+TEST_CASE("The durations of a queue's advice survive a snapshot", "[jobs]")
+{
+    auto configuration = makeConfiguration(2);
+    configuration.queues.front().needsAdvice = true;
+    configuration.queues.front().adviceTiming = { { 400 }, { 50 }, { 3000 } };
+    JobStore store;
+    store.apply(AcceptConfiguration { configuration }, {});
+    JobStore restored;
+    restored.restoreSnapshot(store.takeSnapshot());
+    const auto& queue = restored.configuration().queues.front();
+    REQUIRE(queue.needsAdvice);
+    REQUIRE(queue.adviceTiming == AdviceTiming { { 400 }, { 50 }, { 3000 } });
+}
+
 // Guards against truncated input that crashes the decoder or is accepted as a command.
 TEST_CASE("Truncated command bytes are an error", "[jobs]")
 {
--- a/test/platform/WireCodecTest.cpp
+++ b/test/platform/WireCodecTest.cpp
@@ -43,6 +43,24 @@
     REQUIRE(decoded.pools.at(0).rejectsOverload);
 }
 
+// Guards against calls of the advice service that are longer than its tickets are valid.
+TEST_CASE("The durations of a queue's advice service are decoded", "[platform]")
+{
+    REQUIRE_FALSE(decodeConfiguration(configuration).queues.at(0).needsAdvice);
+    auto withAdvice = [](const std::string& advice) {
+        return replaced(configuration, "\"attempts\":3", "\"attempts\":3,\"advice\":" + advice);
+    };
+    auto decoded = decodeConfiguration(withAdvice(R"({"decide_ms":400,"interval_ms":50,"valid_ms":3000})"));
+    REQUIRE(decoded.queues.at(0).needsAdvice);
+    REQUIRE(decoded.queues.at(0).adviceTiming == AdviceTiming { { 400 }, { 50 }, { 3000 } });
+    decoded = decodeConfiguration(withAdvice("{}"));
+    REQUIRE(decoded.queues.at(0).needsAdvice);
+    REQUIRE(decoded.queues.at(0).adviceTiming == AdviceTiming {});
+    REQUIRE_FALSE(decodeConfiguration(withAdvice("null")).queues.at(0).needsAdvice);
+    REQUIRE_THROWS_AS(decodeConfiguration(withAdvice("true")), Error);
+    REQUIRE_THROWS_AS(decodeConfiguration(withAdvice(R"({"valid_ms":-1})")), Error);
+}
+
 // Guards against acknowledging and applying an invalid configuration.
 TEST_CASE("An invalid configuration is rejected", "[platform]")
 {
