Name only as many runners in a call of the advice service as a step needs

Cause: a call named up to 100 runners, and the service takes interval_ms for each of them: 5.4 s with 400 ms and 50 ms, while a ticket is valid for 3 s. Each answer was too old to be used, and each next call named the same runners, those that the service had refused included.

Which runners may run a step doesn't change, so a refused runner isn't named again for 10 s.

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -1,64 +1,112 @@
 /// @file
-/// Cache of placement advice per step.
+/// What the advice service has said about the runners for each step.
 #pragma once
 
 #include "celeryline/jobs/PlacementAdvisor.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
+#include <vector>
 
 namespace celeryline {
 
-/// Caches the advice of the placement advisor for each step until it expires.
+/// What is known about a runner for a step.
+enum class RunnerAdvice : std::uint8_t {
+    Unknown, ///< The service hasn't been asked about it.
+    Approved, ///< There is a valid ticket.
+    Expired, ///< The service approved it; its ticket has expired or was refused.
+    Refused ///< The service doesn't approve it.
+};
+
+/// A call of the advice service.
+struct AdviceCall {
+    TaskName step; ///< Any task of the step.
+    std::string queue; ///< Key of the step's queue.
+    std::vector<std::string> runners; ///< Ids of the runners that it names.
+    Millis askedAt; ///< Steady time; the validity of the tickets counts from here.
+};
+
+/// Stores the answers of the advice service for each step. Single-threaded.
 class AdviceCache {
 public:
-    void clear() { m_steps.clear(); }
+    void clear();
 
     /// @param step any task of the step.
-    /// @return whether advice for the step should be requested now.
-    bool mustAsk(const TaskName& step, Millis now) const;
+    /// @return whether the service may be asked about the step now: no call for it is in flight, and no delay
+    /// after a failed call is running.
+    bool mayAsk(const TaskName& step, Millis now) const;
 
     /// @param step any task of the step.
-    /// @return steady time of the last request for the step; nothing if there was none.
+    /// @return steady time of the last call for the step; nothing if there was none.
     std::optional<Millis> askedAt(const TaskName& step) const;
 
-    /// Records that a request for the step is in flight.
+    /// Records that a call for the step is in flight.
     void markAsked(const TaskName& step, Millis now);
 
-    /// Stores the response to a request.
-    /// @param advice the advice; nothing if the request failed, it is then repeated after a delay.
-    /// @param askedAt when the request was sent; the validity of the tickets counts from here.
-    void storeAnswer(
-        const TaskName& step, const std::optional<PlacementAdvice>& advice, Millis askedAt, Millis now);
+    /// Records that there is nothing to ask about a step for a while.
+    /// @param until steady time until which mayAsk() returns false.
+    void postpone(const TaskName& step, Millis until);
+
+    /// Stores the response to a call.
+    /// @param advice the advice; nothing if the call failed, it is then repeated after a growing delay.
+    void storeAnswer(const AdviceCall& call, const std::optional<PlacementAdvice>& advice, Millis now);
+
+    /// @return what is known about a runner for a step.
+    RunnerAdvice adviceOn(const TaskName& step, const std::string& runner, Millis now) const;
+
+    /// @return whether the service refused a runner so long ago that it may be asked again.
+    bool mayAskAgain(const TaskName& step, const std::string& runner, Millis now) const;
+
+    /// @return whether there is a valid ticket for any runner.
+    bool hasTicket(const TaskName& step, Millis now) const;
 
     /// @return the ticket that permits a runner to run the step; null if there is no valid one.
     const std::string* ticket(const TaskName& step, const std::string& runner, Millis now) const;
 
-    /// Drops the tickets of a runner that left or restarted. Advice for a step whose last ticket this removes
-    /// is requested again.
+    /// @return the share of the named runners that the service approved in recent calls of a queue, above 0.
+    double approvedShare(const std::string& queue) const;
+
+    /// Invalidates a ticket that a runner refused.
+    void dropTicket(const TaskName& step, const std::string& runner);
+
+    /// Drops what is known about a runner that left or restarted.
     /// @param runner its id.
-    /// @param now steady time.
-    void removeRunner(const std::string& runner, Millis now);
+    void removeRunner(const std::string& runner);
 
     /// Drops the entries of steps that have ended.
     /// @param isOver returns whether the step of a task has ended.
     void removeEnded(const std::function<bool(const TaskName&)>& isOver);
 
 private:
+    struct Ticket {
+        std::string text;
+        Millis validUntil; ///< Steady time.
+        Millis safetyMargin; ///< Time before that in which it isn't used any more.
+    };
     struct Entry {
-        PlacementAdvice advice;
-        Millis askedAt;
-        Millis validUntil;
-        Millis askAgainAt;
+        std::map<std::string, Ticket> tickets; ///< Latest ticket of each approved runner, by id.
+        std::map<std::string, Millis> refusedAt; ///< Steady time of the latest refusal, by runner id.
+        std::optional<Millis> askedAt; ///< Steady time of the last call.
+        Millis askAgainAt; ///< Steady time.
+        std::uint32_t failures = 0; ///< Consecutive failed calls.
         bool isAsking = false;
     };
+    /// Numbers of named and approved runners of a queue's recent calls.
+    struct Approvals {
+        double named = 0;
+        double approved = 0;
+    };
     using Key = std::tuple<JobId, std::uint32_t, std::uint32_t>;
 
     static Key keyOf(const TaskName& step) { return { step.job, step.occurrence, step.step }; }
+    static bool isValid(const Ticket& ticket, Millis now);
 
     std::map<Key, Entry> m_steps;
+    std::map<std::string, Approvals> m_approvals; ///< By queue key.
 };
 
 } // namespace celeryline
--- /dev/null
+++ b/include/celeryline/jobs/AdvicePlan.h
@@ -0,0 +1,33 @@
+/// @file
+/// Chooses what the advice service is asked next.
+#pragma once
+
+#include "celeryline/jobs/AdviceCache.h"
+#include "celeryline/jobs/CandidateIndex.h"
+#include "celeryline/jobs/JobStore.h"
+
+#include <optional>
+
+namespace celeryline {
+
+/// @param timing durations of a queue's advice service.
+/// @param runners number of runners that a call names.
+/// @return how long the service takes for the call; 0 if unknown.
+Millis adviceDuration(const AdviceTiming& timing, std::size_t runners);
+
+/// The tickets count from the call, so a call must leave enough of their validity.
+/// @param timing durations of a queue's advice service.
+/// @return how many runners a call may name, at least 1.
+std::size_t maxAdvisedRunners(const AdviceTiming& timing);
+
+/// Chooses the next call of the advice service, which handles one call at a time. A call names only as many
+/// runners as the step is likely to need, because the service takes time for each of them.
+/// @param store jobs and configuration.
+/// @param candidates runners that accept new tasks.
+/// @param cache earlier answers; steps about which there is nothing to ask are postponed in it.
+/// @param now steady time.
+/// @return the call; nothing if there is nothing to ask now.
+std::optional<AdviceCall> chooseAdviceCall(
+    const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis now);
+
+} // namespace celeryline
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -179,13 +179,6 @@
         Millis answerDeadline {}; ///< Steady time; set for the report of an idle runner.
     };
 
-    /// A step for which advice should be requested.
-    struct AdviceCall {
-        TaskName step;
-        std::string service; ///< The step's pool.
-        std::optional<Millis> askedAt; ///< Steady time of the last request for the step.
-    };
-
     std::vector<JobCommand> endsOf(const RunnerReport& report) const;
     void commitEnds(const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending);
     Resources reservedOn(const RunnerIncarnation& incarnation) const;
@@ -213,8 +206,7 @@
     bool isServing(const TaskName& task, const TaskState& state) const;
     bool mayRecall(const RunName& run) const;
     void askForAdvice();
-    std::vector<AdviceCall> adviceCalls() const;
-    void askFor(const AdviceCall& call);
+    void onAdvice(const AdviceCall& call, const std::optional<PlacementAdvice>& advice);
     void throttleBestEffort(const RunnerReport& report, RunnerOrders& orders);
     ServingLatency servingLatencyOf(const RunnerReport& report) const;
     void recordOutcomes(const std::vector<JobCommand>& commands, const RunnerIncarnation& incarnation);
--- a/include/celeryline/jobs/TaskFit.h
+++ b/include/celeryline/jobs/TaskFit.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "celeryline/jobs/CandidateIndex.h"
+#include "celeryline/jobs/JobState.h"
 #include "celeryline/jobs/WaitReason.h"
 
 #include <algorithm>
@@ -42,6 +43,18 @@
     return isAtLimit ? WaitReason::TaskLimit : WaitReason::HasRoom;
 }
 
+/// @param step state of a step.
+/// @return the number of its active runs on each runner, by runner id.
+std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step);
+
+/// @param spec a step.
+/// @param candidate a runner.
+/// @param tasksHere number of tasks of the step on the runner.
+/// @param maxCount limit on the result.
+/// @return how many more tasks of the step fit on the runner.
+std::int64_t tasksThatFit(
+    const StepSpec& spec, PlacementCandidate candidate, std::int64_t tasksHere, std::int64_t maxCount);
+
 /// Steady time of the last failure of a task on each runner, by runner id.
 using FailureTimes = std::map<std::string, Millis>;
 
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -1,16 +1,31 @@
 #include "celeryline/jobs/AdviceCache.h"
 
+#include <algorithm>
+
 namespace celeryline {
 namespace {
 
 /// A ticket must still be valid when the order that carries it reaches the runner.
 constexpr Millis ticketSafetyMargin { 300 };
+/// Limit on the margin of tickets with a short validity, as a part of it.
+constexpr std::int64_t maxMarginDivisor = 4;
 constexpr Millis retryDelayAfterFailure { 200 };
-constexpr Millis retryDelayAfterRefusal { 1000 };
+/// The delay doubles with each consecutive failure, up to 16 times the first one.
+constexpr std::uint32_t maxDelayDoublings = 4;
+/// The policy for a step doesn't change, so a refusal is checked again only in case that the service erred.
+constexpr Millis refusalRetention { 10000 };
+/// Number of named runners after which earlier calls count half in the approved share.
+constexpr double maxNamedInShare = 200;
 
 } // namespace
 
-bool AdviceCache::mustAsk(const TaskName& step, Millis now) const
+void AdviceCache::clear()
+{
+    m_steps.clear();
+    m_approvals.clear();
+}
+
+bool AdviceCache::mayAsk(const TaskName& step, Millis now) const
 {
     auto found = m_steps.find(keyOf(step));
     return found == m_steps.end() || (!found->second.isAsking && now >= found->second.askAgainAt);
@@ -19,7 +34,7 @@
 std::optional<Millis> AdviceCache::askedAt(const TaskName& step) const
 {
     auto found = m_steps.find(keyOf(step));
-    return found == m_steps.end() ? std::nullopt : std::optional<Millis>(found->second.askedAt);
+    return found == m_steps.end() ? std::nullopt : found->second.askedAt;
 }
 
 void AdviceCache::markAsked(const TaskName& step, Millis now)
@@ -27,39 +42,106 @@
     auto& entry = m_steps[keyOf(step)];
     entry.isAsking = true;
     entry.askedAt = now;
-    entry.askAgainAt = now;
 }
 
+void AdviceCache::postpone(const TaskName& step, Millis until) { m_steps[keyOf(step)].askAgainAt = until; }
+
 void AdviceCache::storeAnswer(
-    const TaskName& step, const std::optional<PlacementAdvice>& advice, Millis askedAt, Millis now)
+    const AdviceCall& call, const std::optional<PlacementAdvice>& advice, Millis now)
 {
-    auto& entry = m_steps[keyOf(step)];
+    auto& entry = m_steps[keyOf(call.step)];
     entry.isAsking = false;
     if (!advice) {
-        entry.askAgainAt = now + retryDelayAfterFailure;
+        auto doublings = std::min(entry.failures++, maxDelayDoublings);
+        entry.askAgainAt = now + Millis { retryDelayAfterFailure.count << doublings };
         return;
     }
-    entry.advice = *advice;
-    entry.validUntil = askedAt + advice->validFor;
-    // None of the requested runners was approved; others may appear.
-    entry.askAgainAt
-        = entry.advice.tickets.empty() ? now + retryDelayAfterRefusal : entry.validUntil - ticketSafetyMargin;
+    entry.failures = 0;
+    entry.askAgainAt = now;
+    auto margin = std::min(ticketSafetyMargin, Millis { advice->validFor.count / maxMarginDivisor });
+    auto& approvals = m_approvals[call.queue];
+    for (const auto& runner : call.runners) {
+        auto approved = advice->tickets.find(runner);
+        approvals.named += 1;
+        if (approved == advice->tickets.end()) {
+            entry.refusedAt[runner] = now;
+            continue;
+        }
+        approvals.approved += 1;
+        entry.refusedAt.erase(runner);
+        entry.tickets[runner] = { approved->second, call.askedAt + advice->validFor, margin };
+    }
+    if (approvals.named > maxNamedInShare)
+        approvals = { approvals.named / 2, approvals.approved / 2 };
+}
+
+bool AdviceCache::isValid(const Ticket& ticket, Millis now)
+{
+    return now + ticket.safetyMargin <= ticket.validUntil;
+}
+
+RunnerAdvice AdviceCache::adviceOn(const TaskName& step, const std::string& runner, Millis now) const
+{
+    auto found = m_steps.find(keyOf(step));
+    if (found == m_steps.end())
+        return RunnerAdvice::Unknown;
+    const auto& entry = found->second;
+    auto ticket = entry.tickets.find(runner);
+    if (ticket != entry.tickets.end())
+        return isValid(ticket->second, now) ? RunnerAdvice::Approved : RunnerAdvice::Expired;
+    return entry.refusedAt.count(runner) != 0 ? RunnerAdvice::Refused : RunnerAdvice::Unknown;
+}
+
+bool AdviceCache::mayAskAgain(const TaskName& step, const std::string& runner, Millis now) const
+{
+    auto found = m_steps.find(keyOf(step));
+    if (found == m_steps.end())
+        return false;
+    auto refused = found->second.refusedAt.find(runner);
+    return refused != found->second.refusedAt.end() && now >= refused->second + refusalRetention;
+}
+
+bool AdviceCache::hasTicket(const TaskName& step, Millis now) const
+{
+    auto found = m_steps.find(keyOf(step));
+    return found != m_steps.end()
+        && std::any_of(found->second.tickets.begin(), found->second.tickets.end(),
+            [now](const auto& ticket) { return isValid(ticket.second, now); });
 }
 
 const std::string* AdviceCache::ticket(const TaskName& step, const std::string& runner, Millis now) const
 {
     auto found = m_steps.find(keyOf(step));
-    if (found == m_steps.end() || now + ticketSafetyMargin > found->second.validUntil)
+    if (found == m_steps.end())
         return nullptr;
-    auto ticket = found->second.advice.tickets.find(runner);
-    return ticket == found->second.advice.tickets.end() ? nullptr : &ticket->second;
+    auto ticket = found->second.tickets.find(runner);
+    bool isUsable = ticket != found->second.tickets.end() && isValid(ticket->second, now);
+    return isUsable ? &ticket->second.text : nullptr;
+}
+
+double AdviceCache::approvedShare(const std::string& queue) const
+{
+    auto found = m_approvals.find(queue);
+    auto approvals = found == m_approvals.end() ? Approvals {} : found->second;
+    // Begins at one half and is never 0, so that few answers don't decide.
+    return (approvals.approved + 1) / (approvals.named + 2);
+}
+
+void AdviceCache::dropTicket(const TaskName& step, const std::string& runner)
+{
+    auto found = m_steps.find(keyOf(step));
+    if (found == m_steps.end())
+        return;
+    auto ticket = found->second.tickets.find(runner);
+    if (ticket != found->second.tickets.end())
+        ticket->second.validUntil = {};
 }
 
-void AdviceCache::removeRunner(const std::string& runner, Millis now)
+void AdviceCache::removeRunner(const std::string& runner)
 {
     for (auto& [key, entry] : m_steps) {
-        if (entry.advice.tickets.erase(runner) != 0 && entry.advice.tickets.empty())
-            entry.askAgainAt = now;
+        entry.tickets.erase(runner);
+        entry.refusedAt.erase(runner);
     }
 }
 
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -127,7 +127,7 @@
     const auto* state = m_runners.accept(std::move(report), lease, m_clock().steady);
     if (state != nullptr && isNew) {
         m_mustPlan = true;
-        m_adviceCache.removeRunner(state->report.incarnation.runner, m_clock().steady);
+        m_adviceCache.removeRunner(state->report.incarnation.runner);
         Event("runner-found")
             .with("runner", state->report.incarnation.runner)
             .with("born", state->report.incarnation.startTime)
@@ -205,7 +205,7 @@
 {
     Event("runner-left").with("runner", runner).write();
     m_runners.markLeft(runner, m_clock().steady);
-    m_adviceCache.removeRunner(runner, m_clock().steady);
+    m_adviceCache.removeRunner(runner);
     m_changedRunners.insert(runner);
 }
 
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -1,4 +1,4 @@
-// JobMaster: runner usage, placement advice, throttling and recall of runs.
+// JobMaster: runner usage, throttling and recall of runs.
 #include "celeryline/jobs/JobEvents.h"
 #include "celeryline/jobs/JobMaster.h"
 #include "celeryline/jobs/StartPlan.h"
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::int64_t fullRate = 100;
-/// The service handles one call at a time, so a second call would only wait there while its tickets expire.
-constexpr std::size_t maxAdviceCalls = 1;
 
 } // namespace
 
@@ -95,74 +93,6 @@
     return true;
 }
 
-void JobMaster::askForAdvice()
-{
-    const auto& queues = m_store.configuration().queues;
-    auto needsAdvice = [](const QueueSettings& queue) { return queue.needsAdvice; };
-    if (m_advisor == nullptr || m_pendingAdviceCalls >= maxAdviceCalls
-        || std::none_of(queues.begin(), queues.end(), needsAdvice))
-        return;
-    auto calls = adviceCalls();
-    // Least recently requested steps first, so that no job starves.
-    std::stable_sort(calls.begin(), calls.end(),
-        [](const AdviceCall& a, const AdviceCall& b) { return a.askedAt < b.askedAt; });
-    for (const auto& call : calls) {
-        if (m_pendingAdviceCalls >= maxAdviceCalls)
-            return;
-        askFor(call);
-    }
-}
-
-std::vector<JobMaster::AdviceCall> JobMaster::adviceCalls() const
-{
-    std::vector<AdviceCall> calls;
-    auto now = m_clock().steady;
-    for (const auto& id : m_store.openJobs()) {
-        const auto& job = *m_store.findJob(id);
-        const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
-        if (queue == nullptr || !queue->needsAdvice)
-            continue;
-        for (const auto& [occurrence, steps] : job.occurrences) {
-            for (std::size_t i = 0; i < steps.size(); ++i) {
-                // Advice for the next steps is requested in advance, while their predecessors run.
-                TaskName step { id, occurrence, static_cast<std::uint32_t>(i), 0 };
-                if (steps[i].done + steps[i].active < steps[i].tasks.size()
-                    && m_adviceCache.mustAsk(step, now))
-                    calls.push_back({ step, queue->service, m_adviceCache.askedAt(step) });
-            }
-        }
-    }
-    return calls;
-}
-
-void JobMaster::askFor(const AdviceCall& call)
-{
-    std::vector<std::string> runners;
-    const auto& pool = m_candidates.pool(call.service);
-    for (auto candidate = pool.rbegin(); candidate != pool.rend(); ++candidate) {
-        if (runners.size() < PlacementAdvisor::maxRunners)
-            runners.push_back((*candidate)->incarnation.runner);
-    }
-    if (runners.empty())
-        return;
-    auto now = m_clock().steady;
-    m_adviceCache.markAsked(call.step, now);
-    ++m_pendingAdviceCalls;
-    describeStep("advice-asked", call.step)
-        .with("runners", runners.size())
-        .with("calls", m_pendingAdviceCalls)
-        .write();
-    m_advisor->ask(call.step, runners,
-        [this, step = call.step, now, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
-            if (term != m_log.term())
-                return;
-            --m_pendingAdviceCalls;
-            m_adviceCache.storeAnswer(step, advice, now, m_clock().steady);
-            describeAnswer(step, advice, m_clock().steady - now).write();
-            m_mustPlan = true;
-        });
-}
-
 ServingLatency JobMaster::servingLatencyOf(const RunnerReport& report) const
 {
     ServingLatency tail;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -19,17 +19,6 @@
 /// whose demand is known to be unplaceable are skipped without a search and don't count.
 constexpr int maxFailedSearches = 256;
 
-/// @return the number of tasks of a step on each runner.
-std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
-{
-    std::map<std::string, std::uint32_t> onRunner;
-    for (const auto& task : step.tasks) {
-        for (const auto& run : task.runs)
-            ++onRunner[run.incarnation.runner];
-    }
-    return onRunner;
-}
-
 /// @return whether a runner may take another task of a step.
 bool isAllowed(const StepSpec& spec, const PlacementCandidate& candidate, std::int64_t tasksHere)
 {
@@ -41,17 +30,6 @@
     return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
 }
 
-/// @return the number of tasks of a step that fit on a runner.
-std::int64_t tasksThatFit(const StepSpec& spec, PlacementCandidate candidate, std::int64_t maxCount)
-{
-    std::int64_t count = 0;
-    while (count < maxCount && isAllowed(spec, candidate, count)) {
-        candidate.free -= reservedBy(spec);
-        ++count;
-    }
-    return count;
-}
-
 /// Chooses a rack for a step whose tasks run slower when spread over several racks.
 /// @param step state of the step; a rack where it already runs is kept.
 /// @param pool candidates of the pool.
@@ -66,7 +44,7 @@
             continue;
         if (onRunner.count(candidate->incarnation.runner) != 0)
             return candidate->rack;
-        fitting[candidate->rack] += tasksThatFit(spec, *candidate, waiting);
+        fitting[candidate->rack] += tasksThatFit(spec, *candidate, 0, waiting);
     }
     std::string best;
     std::int64_t bestCount = 0;
--- /dev/null
+++ b/src/jobs/TaskFit.cpp
@@ -0,0 +1,27 @@
+#include "celeryline/jobs/TaskFit.h"
+
+namespace celeryline {
+
+std::map<std::string, std::uint32_t> tasksByRunner(const StepState& step)
+{
+    std::map<std::string, std::uint32_t> onRunner;
+    for (const auto& task : step.tasks) {
+        for (const auto& run : task.runs)
+            ++onRunner[run.incarnation.runner];
+    }
+    return onRunner;
+}
+
+std::int64_t tasksThatFit(
+    const StepSpec& spec, PlacementCandidate candidate, std::int64_t tasksHere, std::int64_t maxCount)
+{
+    auto limit = candidate.takesOneTask ? std::min<std::int64_t>(1, maxCount) : maxCount;
+    std::int64_t count = 0;
+    while (count < limit && checkDemand(spec, candidate, tasksHere + count) == WaitReason::HasRoom) {
+        candidate.free -= reservedBy(spec);
+        ++count;
+    }
+    return count;
+}
+
+} // namespace celeryline
