Ask the advice service first about the steps that can start

Callers saw first steps of a burst of jobs wait while the service was asked about second steps, whose turn came only after their tickets had expired (simulation: 2 of 12 jobs started in 2.5 s, in which the service can answer 4 calls).

Cause: all waiting steps of open jobs had the same rank, whether their turn had come, whether any runner had room, and whatever their deadline. What is asked too early is answered too early and thrown away.

chooseAdviceCall() now prefers, in this order: steps that could start now, as the plan orders them (in time by latest start, then late ones, the least late first); ready steps without room, so that they hold tickets when room appears; steps whose predecessors have all started, once each; steps all of whose runners were refused 10 s ago or earlier. A step about which there is nothing to ask is looked at again after 250 ms.

Why it works: a call is spent on a step that can't start only if there is no step that can, and each step has a bounded number of calls, since neither approved nor refused runners are named again.

Tests: "The first steps of a burst of jobs don't wait for advice on the second ones" failed before (2 of 4).

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -40,12 +40,11 @@
     /// after a failed call is running.
     bool mayAsk(const TaskName& step, Millis now) const;
 
-    /// @param step any task of the step.
-    /// @return steady time of the last call for the step; nothing if there was none.
-    std::optional<Millis> askedAt(const TaskName& step) const;
+    /// @return whether the service was ever asked about the step.
+    bool wasAsked(const TaskName& step) const;
 
     /// Records that a call for the step is in flight.
-    void markAsked(const TaskName& step, Millis now);
+    void markAsked(const TaskName& step);
 
     /// Records that there is nothing to ask about a step for a while.
     /// @param until steady time until which mayAsk() returns false.
@@ -90,10 +89,10 @@
     struct Entry {
         std::map<std::string, Ticket> tickets; ///< Latest ticket of each approved runner, by id.
         std::map<std::string, Millis> refusedAt; ///< Steady time of the latest refusal, by runner id.
-        std::optional<Millis> askedAt; ///< Steady time of the last call.
         Millis askAgainAt; ///< Steady time.
         std::uint32_t failures = 0; ///< Consecutive failed calls.
-        bool isAsking = false;
+        bool isAsking = false; ///< A call is in flight.
+        bool wasAsked = false;
     };
     /// Numbers of named and approved runners of a queue's recent calls.
     struct Approvals {
--- a/include/celeryline/jobs/AdvicePlan.h
+++ b/include/celeryline/jobs/AdvicePlan.h
@@ -20,14 +20,19 @@
 /// @return how many runners a call may name, at least 1.
 std::size_t maxAdvisedRunners(const AdviceTiming& timing);
 
-/// Chooses the next call of the advice service, which handles one call at a time. A call names only as many
-/// runners as the step is likely to need, because the service takes time for each of them.
+/// Chooses the next call of the advice service, which handles one call at a time.
+///
+/// Steps that could start now come first, in the order in which the plan starts them; then steps without
+/// room, so that they hold tickets when room appears; then steps whose predecessors are running; and last
+/// steps all of whose runners were refused long ago. A call names only as many runners as the step is likely
+/// to need, because the service takes time for each of them.
 /// @param store jobs and configuration.
 /// @param candidates runners that accept new tasks.
 /// @param cache earlier answers; steps about which there is nothing to ask are postponed in it.
+/// @param wallNow wall time.
 /// @param now steady time.
 /// @return the call; nothing if there is nothing to ask now.
-std::optional<AdviceCall> chooseAdviceCall(
-    const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis now);
+std::optional<AdviceCall> chooseAdviceCall(const JobStore& store, const CandidateIndex& candidates,
+    AdviceCache& cache, Millis wallNow, Millis now);
 
 } // namespace celeryline
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -31,17 +31,17 @@
     return found == m_steps.end() || (!found->second.isAsking && now >= found->second.askAgainAt);
 }
 
-std::optional<Millis> AdviceCache::askedAt(const TaskName& step) const
+bool AdviceCache::wasAsked(const TaskName& step) const
 {
     auto found = m_steps.find(keyOf(step));
-    return found == m_steps.end() ? std::nullopt : found->second.askedAt;
+    return found != m_steps.end() && found->second.wasAsked;
 }
 
-void AdviceCache::markAsked(const TaskName& step, Millis now)
+void AdviceCache::markAsked(const TaskName& step)
 {
     auto& entry = m_steps[keyOf(step)];
     entry.isAsking = true;
-    entry.askedAt = now;
+    entry.wasAsked = true;
 }
 
 void AdviceCache::postpone(const TaskName& step, Millis until) { m_steps[keyOf(step)].askAgainAt = until; }
--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -16,6 +16,53 @@
 /// Limit on the steps of one search, so that a backlog doesn't slow down the leader.
 constexpr std::size_t maxExaminedSteps = 128;
 
+/// What a call for a step is good for, in the order of preference.
+enum class CallPurpose : std::uint8_t {
+    Start, ///< The step can start as soon as it is answered.
+    WaitForRoom, ///< No runner has room now.
+    Prepare, ///< The predecessors of the step are running.
+    CheckRefusals ///< All runners were refused long ago.
+};
+
+/// A possible call and its purpose.
+struct PossibleCall {
+    CallPurpose purpose = CallPurpose::CheckRefusals;
+    AdviceCall call;
+};
+
+/// A job with a step that is ready to start, in the order of the plan.
+struct WaitingJob {
+    bool isLate = false;
+    std::uint32_t priority = 0;
+    bool isLimited = false; ///< It isn't long-running.
+    std::int64_t rank = 0;
+    const JobState* job = nullptr;
+    const QueueSettings* queue = nullptr;
+
+    auto key() const { return std::make_tuple(isLate, priority, isLimited, rank, job->spec.id); }
+};
+
+/// Waiting jobs of queues that need advice, in the order in which the plan starts them.
+std::vector<WaitingJob> waitingJobs(const JobStore& store, Millis wallNow)
+{
+    std::vector<WaitingJob> waiting;
+    for (const auto& [key, jobs] : store.startableJobs()) {
+        const auto* queue = findQueue(store.configuration(), key);
+        if (queue == nullptr || !queue->needsAdvice)
+            continue;
+        for (const auto& startable : jobs) {
+            bool isLate = !startable.isLongRunning && startable.latestStart < wallNow;
+            auto latestStart = startable.latestStart.count;
+            // Of late jobs, the plan prefers the least late ones.
+            waiting.push_back({ isLate, queue->priority, !startable.isLongRunning,
+                isLate ? -latestStart : latestStart, store.findJob(startable.id), queue });
+        }
+    }
+    std::sort(waiting.begin(), waiting.end(),
+        [](const WaitingJob& a, const WaitingJob& b) { return a.key() < b.key(); });
+    return waiting;
+}
+
 /// Chooses the runners that a call for one step names.
 class RunnerChoice {
 public:
@@ -28,18 +75,26 @@
     {
     }
 
-    /// @return the runners that a call should name; empty if there is nothing to ask.
-    std::vector<std::string> choose(const StepSpec& spec, const StepState& state, const TaskName& step)
+    /// @return the purpose and the runners of a call; no runners if there is nothing to ask.
+    PossibleCall choose(const StepSpec& spec, const StepState& state, const TaskName& step)
     {
         auto waiting = static_cast<std::int64_t>(state.tasks.size()) - state.done - state.active;
         sortCandidates(spec, state, step, waiting);
-        if (m_covered >= waiting)
-            return {};
+        PossibleCall possible;
         auto wanted = expectedCapacityFactor * static_cast<double>(waiting);
-        auto runners = pick(m_withRoom, wanted - static_cast<double>(m_covered));
-        if (runners.empty() && !m_cache.hasTicket(step, m_now))
-            runners = pick(m_withoutRoom, wanted);
-        return runners.empty() ? pick(m_refused, wanted) : runners;
+        if (m_covered >= waiting)
+            return possible;
+        possible.purpose = CallPurpose::Start;
+        possible.call.runners = pick(m_withRoom, wanted - static_cast<double>(m_covered));
+        if (possible.call.runners.empty() && !m_cache.hasTicket(step, m_now)) {
+            possible.purpose = CallPurpose::WaitForRoom;
+            possible.call.runners = pick(m_withoutRoom, wanted);
+        }
+        if (possible.call.runners.empty()) {
+            possible.purpose = CallPurpose::CheckRefusals;
+            possible.call.runners = pick(m_refused, wanted);
+        }
+        return possible;
     }
 
 private:
@@ -121,39 +176,99 @@
     std::vector<Option> m_refused;
 };
 
-/// A step with waiting tasks.
-struct WaitingStep {
-    std::optional<Millis> askedAt; ///< Steady time of the last call.
-    TaskName step;
-    const JobState* job = nullptr;
-    const QueueSettings* queue = nullptr;
+/// Searches the waiting steps for the most useful call.
+class CallSearch {
+public:
+    CallSearch(const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis now)
+        : m_store(store)
+        , m_candidates(candidates)
+        , m_cache(cache)
+        , m_now(now)
+    {
+    }
 
-    const StepSpec& spec() const { return job->spec.steps[step.step]; }
-    const StepState& state() const { return job->occurrences.at(step.occurrence)[step.step]; }
-};
+    std::optional<AdviceCall> search(Millis wallNow)
+    {
+        for (const auto& waiting : waitingJobs(m_store, wallNow)) {
+            considerJob(*waiting.job, *waiting.queue, true);
+            if (isDone())
+                return std::move(m_best->call);
+        }
+        bool canWait = m_best && m_best->purpose < CallPurpose::Prepare;
+        if (!canWait)
+            considerFollowers();
+        return m_best ? std::optional<AdviceCall>(std::move(m_best->call)) : std::nullopt;
+    }
 
-/// Steps about which the service may be asked; the least recently asked ones come first, so that none starves.
-std::vector<WaitingStep> waitingSteps(const JobStore& store, const AdviceCache& cache, Millis now)
-{
-    std::vector<WaitingStep> waiting;
-    for (const auto& id : store.openJobs()) {
-        const auto& job = *store.findJob(id);
-        const auto* queue = findQueue(store.configuration(), job.spec.queue);
-        if (queue == nullptr || !queue->needsAdvice)
-            continue;
+private:
+    bool isDone() const
+    {
+        return (m_best && m_best->purpose == CallPurpose::Start) || m_examined >= maxExaminedSteps;
+    }
+
+    void considerFollowers()
+    {
+        for (const auto& id : m_store.openJobs()) {
+            const auto& job = *m_store.findJob(id);
+            const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
+            if (queue != nullptr && queue->needsAdvice)
+                considerJob(job, *queue, false);
+            if (m_examined >= maxExaminedSteps || (m_best && m_best->purpose == CallPurpose::Prepare))
+                return;
+        }
+    }
+
+    void considerJob(const JobState& job, const QueueSettings& queue, bool wantsReady)
+    {
         for (const auto& [occurrence, steps] : job.occurrences) {
             for (std::uint32_t i = 0; i < steps.size(); ++i) {
-                // Advice for the next steps is requested in advance, while their predecessors run.
-                TaskName step { id, occurrence, i, 0 };
-                if (steps[i].done + steps[i].active < steps[i].tasks.size() && cache.mayAsk(step, now))
-                    waiting.push_back({ cache.askedAt(step), step, &job, queue });
+                TaskName step { job.spec.id, occurrence, i, 0 };
+                bool isWaiting = steps[i].done + steps[i].active < steps[i].tasks.size();
+                if (!isWaiting || !m_cache.mayAsk(step, m_now))
+                    continue;
+                bool isReady = isStepReady(job.spec.steps, steps, i);
+                bool isNext = !isReady && !m_cache.wasAsked(step) && isFollower(job.spec.steps[i], steps);
+                if (wantsReady ? isReady : isNext)
+                    considerStep(job.spec.steps[i], steps[i], step, queue, isReady);
             }
         }
     }
-    std::stable_sort(waiting.begin(), waiting.end(),
-        [](const WaitingStep& a, const WaitingStep& b) { return a.askedAt < b.askedAt; });
-    return waiting;
-}
+
+    /// @return whether all tasks of the steps before a step have started.
+    static bool isFollower(const StepSpec& spec, const std::vector<StepState>& steps)
+    {
+        return std::all_of(spec.after.begin(), spec.after.end(), [&](std::uint32_t before) {
+            return steps[before].done + steps[before].active >= steps[before].tasks.size();
+        });
+    }
+
+    void considerStep(const StepSpec& spec, const StepState& state, const TaskName& step,
+        const QueueSettings& queue, bool isReady)
+    {
+        ++m_examined;
+        auto possible = RunnerChoice(m_candidates.pool(queue.service), queue, m_cache, m_now)
+                            .choose(spec, state, step);
+        if (possible.call.runners.empty()) {
+            m_cache.postpone(step, m_now + recheckDelay);
+            return;
+        }
+        if (!isReady)
+            possible.purpose = CallPurpose::Prepare;
+        if (m_best && m_best->purpose <= possible.purpose)
+            return;
+        possible.call.step = step;
+        possible.call.queue = queue.key;
+        possible.call.askedAt = m_now;
+        m_best = std::move(possible);
+    }
+
+    const JobStore& m_store;
+    const CandidateIndex& m_candidates;
+    AdviceCache& m_cache;
+    Millis m_now;
+    std::size_t m_examined = 0;
+    std::optional<PossibleCall> m_best;
+};
 
 } // namespace
 
@@ -173,20 +288,10 @@
         std::clamp<std::int64_t>(available / timing.durationPerRunner.count, 1, most));
 }
 
-std::optional<AdviceCall> chooseAdviceCall(
-    const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis now)
+std::optional<AdviceCall> chooseAdviceCall(const JobStore& store, const CandidateIndex& candidates,
+    AdviceCache& cache, Millis wallNow, Millis now)
 {
-    std::size_t examined = 0;
-    for (const auto& waiting : waitingSteps(store, cache, now)) {
-        if (++examined > maxExaminedSteps)
-            return std::nullopt;
-        auto runners = RunnerChoice(candidates.pool(waiting.queue->service), *waiting.queue, cache, now)
-                           .choose(waiting.spec(), waiting.state(), waiting.step);
-        if (!runners.empty())
-            return AdviceCall { waiting.step, waiting.queue->key, std::move(runners), now };
-        cache.postpone(waiting.step, now + recheckDelay);
-    }
-    return std::nullopt;
+    return CallSearch(store, candidates, cache, now).search(wallNow);
 }
 
 } // namespace celeryline
--- a/src/jobs/JobMasterAdvice.cpp
+++ b/src/jobs/JobMasterAdvice.cpp
@@ -20,11 +20,11 @@
     if (m_advisor == nullptr || m_pendingAdviceCalls >= maxAdviceCalls
         || std::none_of(queues.begin(), queues.end(), needsAdvice))
         return;
-    auto now = m_clock().steady;
-    auto call = chooseAdviceCall(m_store, m_candidates, m_adviceCache, now);
+    auto now = m_clock();
+    auto call = chooseAdviceCall(m_store, m_candidates, m_adviceCache, now.wall, now.steady);
     if (!call)
         return;
-    m_adviceCache.markAsked(call->step, now);
+    m_adviceCache.markAsked(call->step);
     ++m_pendingAdviceCalls;
     describeStep("advice-asked", call->step)
         .with("runners", call->runners.size())
--- a/test/AdviceBurstTest.cpp
+++ b/test/AdviceBurstTest.cpp
@@ -62,3 +62,17 @@
     REQUIRE(simulation.runUntilStarted(Millis { 20 * 600 }));
     REQUIRE(simulation.service.namedRunners <= 60);
 }
+
+// Guards against turns of the service that are spent on steps that can't start yet, while others could.
+TEST_CASE("The first steps of a burst of jobs don't wait for advice on the second ones", "[advice]")
+{
+    constexpr int jobs = 12;
+    AdviceSimulation simulation(runners, {});
+    auto second = makeStep(2, 500);
+    second.after = { 0 };
+    for (int i = 0; i < jobs; ++i)
+        simulation.submit("job" + std::to_string(i), { makeStep(2, 500), second });
+    simulation.runFor({ 2500 }); // Time for four calls, in which no first step has ended and freed its turn.
+    REQUIRE(simulation.startedJobs() == 4);
+    REQUIRE(simulation.runUntilDone(Millis { 2 * jobs * 600 }));
+}
--- a/test/AdviceCacheTest.cpp
+++ b/test/AdviceCacheTest.cpp
@@ -44,7 +44,7 @@
 {
     AdviceCache cache;
     REQUIRE(cache.mayAsk(step, { 0 }));
-    cache.markAsked(step, { 0 });
+    cache.markAsked(step);
     REQUIRE_FALSE(cache.mayAsk(step, { 100 }));
     cache.storeAnswer(call({ "r" }), PlacementAdvice { { { "r", "t" } }, { 3000 } }, { 1000 });
     REQUIRE(*cache.ticket(step, "r", { 2000 }) == "t");
@@ -58,7 +58,7 @@
 TEST_CASE("After a failed request the service isn't asked for a while", "[advice]")
 {
     AdviceCache cache;
-    cache.markAsked(step, { 0 });
+    cache.markAsked(step);
     cache.storeAnswer(call({ "r" }), std::nullopt, { 1000 });
     REQUIRE_FALSE(cache.mayAsk(step, { 1100 }));
     REQUIRE(cache.mayAsk(step, { 1200 }));
@@ -69,7 +69,7 @@
 {
     AdviceCache cache;
     for (int i = 0; i < 2; ++i) {
-        cache.markAsked(step, { 0 });
+        cache.markAsked(step);
         cache.storeAnswer(call({ "r" }), std::nullopt, { 1000 });
     }
     REQUIRE_FALSE(cache.mayAsk(step, { 1399 }));
--- a/test/AdviceSimulation.cpp
+++ b/test/AdviceSimulation.cpp
@@ -102,10 +102,10 @@
         report(runner);
 }
 
-void AdviceSimulation::submit(const std::string& id, const StepSpec& step)
+void AdviceSimulation::submit(const std::string& id, const std::vector<StepSpec>& steps)
 {
     ++m_submitted;
-    kit.submit(makeJob(id, { step }));
+    kit.submit(makeJob(id, steps));
 }
 
 void AdviceSimulation::submitPlain(const std::string& id, const StepSpec& step)
@@ -129,6 +129,13 @@
     return m_started.size() == m_submitted;
 }
 
+bool AdviceSimulation::runUntilDone(Millis limit)
+{
+    for (auto end = kit.moment.steady + limit; kit.moment.steady < end && !kit.store.openJobs().empty();)
+        step();
+    return kit.store.openJobs().empty();
+}
+
 void AdviceSimulation::restartRunner(const std::string& runner)
 {
     auto found = std::find_if(
--- a/test/AdviceSimulation.h
+++ b/test/AdviceSimulation.h
@@ -74,10 +74,10 @@
 public:
     AdviceSimulation(int runners, AdviceServiceOptions options);
 
-    /// Submits a job of one step.
-    void submit(const std::string& id, const StepSpec& step);
+    void submit(const std::string& id, const std::vector<StepSpec>& steps);
+    void submit(const std::string& id, const StepSpec& step) { submit(id, std::vector<StepSpec> { step }); }
 
-    /// Submits a job to a queue without advice, with the same pool.
+    /// Submits a job of one step to a queue without advice, with the same pool.
     void submitPlain(const std::string& id, const StepSpec& step);
 
     void runFor(Millis time);
@@ -86,6 +86,10 @@
     /// @return whether they have within the time.
     bool runUntilStarted(Millis limit);
 
+    /// Runs until all submitted jobs have ended.
+    /// @return whether they have within the time.
+    bool runUntilDone(Millis limit);
+
     std::size_t startedJobs() const { return m_started.size(); }
     bool hasStarted(const std::string& job) const { return m_started.count(job) != 0; }
 
