Let no calls pile up at the advice service that nobody waits for

What callers could see: after a change of leader, or after the service was silent, steps that need advice waited behind calls whose answers are thrown away. In the simulation ten terms of 0.3 s left 6 calls in line, a silent minute 13, and a service that rejects calls was called 108 times in 20 s.

Cause: a new term counted no call as open, although the service still worked at the one of the term before. Each call had 5 s, whatever its duration, so that a slow service collected calls at its own pace; a rejected call was repeated for each step after 200 ms.

Now a call of an earlier term counts as open until it is answered or times out. A call's timeout follows from decide_ms and interval_ms (twice its duration and 1 s) and doubles with each failure in a row, up to 30 s; the delay until the next call grows from 0.2 to 3.2 s. A step whose calls fail waits longer and longer itself, so that it can't hold up others. advice-lost and advice-found log the change.

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -46,7 +46,7 @@
     /// Records that a call for the step is in flight.
     void markAsked(const TaskName& step);
 
-    /// Records that there is nothing to ask about a step for a while.
+    /// Records that there is nothing to ask about a step for a while, unless a runner comes or goes.
     /// @param until steady time until which mayAsk() returns false.
     void postpone(const TaskName& step, Millis until);
 
@@ -89,7 +89,8 @@
     struct Entry {
         std::map<std::string, Ticket> tickets; ///< Latest ticket of each approved runner, by id.
         std::map<std::string, Millis> refusedAt; ///< Steady time of the latest refusal, by runner id.
-        Millis askAgainAt; ///< Steady time.
+        Millis retryAt; ///< Steady time until which the step isn't asked about after a failed call.
+        Millis recheckAt; ///< Steady time until which there is nothing to ask.
         std::uint32_t failures = 0; ///< Consecutive failed calls.
         bool isAsking = false; ///< A call is in flight.
         bool wasAsked = false;
--- a/include/celeryline/jobs/AdvicePlan.h
+++ b/include/celeryline/jobs/AdvicePlan.h
@@ -15,6 +15,13 @@
 /// @return how long the service takes for the call; 0 if unknown.
 Millis adviceDuration(const AdviceTiming& timing, std::size_t runners);
 
+/// @param timing durations of a queue's advice service.
+/// @param runners number of runners that a call names.
+/// @param failures number of consecutive failed calls before it. The service goes on working at a call that
+/// timed out, so the next one is given more time.
+/// @return the timeout of the call.
+Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t failures);
+
 /// The tickets count from the call, so a call must leave enough of their validity.
 /// @param timing durations of a queue's advice service.
 /// @return how many runners a call may name, at least 1.
@@ -32,7 +39,7 @@
 /// @param wallNow wall time.
 /// @param now steady time.
 /// @return the call; nothing if there is nothing to ask now.
-std::optional<AdviceCall> chooseAdviceCall(const JobStore& store, const CandidateIndex& candidates,
-    AdviceCache& cache, Millis wallNow, Millis now);
+std::optional<AdviceCall> chooseAdviceCall(
+    const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis wallNow, Millis now);
 
 } // namespace celeryline
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -206,6 +206,7 @@
     bool isServing(const TaskName& task, const TaskState& state) const;
     bool mayRecall(const RunName& run) const;
     void askForAdvice();
+    void noteAdviceHealth(bool hasAnswered);
     void onAdvice(const AdviceCall& call, const std::optional<PlacementAdvice>& advice);
     void throttleBestEffort(const RunnerReport& report, RunnerOrders& orders);
     ServingLatency servingLatencyOf(const RunnerReport& report) const;
@@ -261,7 +262,9 @@
     Millis m_nextWaitCheck;
     PlacementAdvisor* m_advisor = nullptr; ///< Null without an advice service.
     AdviceCache m_adviceCache;
-    std::size_t m_pendingAdviceCalls = 0; ///< Advisor calls in flight.
+    bool m_isAdvicePending = false; ///< A call of the advisor is in flight, perhaps of an earlier term.
+    std::uint32_t m_adviceFailures = 0; ///< Consecutive failed calls of the advisor.
+    Millis m_adviceRetryAt; ///< Steady time until which the advisor isn't called after a failure.
     Millis m_lag; ///< How long recent messages waited before they were processed.
     Millis m_nextHousekeeping;
     bool m_isHousekeeping = false; ///< Commands proposed by housekeeping are not committed yet.
--- a/include/celeryline/jobs/PlacementAdvisor.h
+++ b/include/celeryline/jobs/PlacementAdvisor.h
@@ -29,8 +29,11 @@
     /// Requests advice.
     /// @param step any task of the step.
     /// @param runners ids of the runners to be approved, at most maxRunners.
-    /// @param done called with the advice, or with nothing if none is available.
-    virtual void ask(const TaskName& step, const std::vector<std::string>& runners, Callback done) = 0;
+    /// @param timeout time after which the request counts as failed.
+    /// @param done called once: with the advice, or with nothing if none is available.
+    virtual void ask(
+        const TaskName& step, const std::vector<std::string>& runners, Millis timeout, Callback done)
+        = 0;
 
     static constexpr std::size_t maxRunners = 100;
 };
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -28,7 +28,10 @@
 bool AdviceCache::mayAsk(const TaskName& step, Millis now) const
 {
     auto found = m_steps.find(keyOf(step));
-    return found == m_steps.end() || (!found->second.isAsking && now >= found->second.askAgainAt);
+    if (found == m_steps.end())
+        return true;
+    const auto& entry = found->second;
+    return !entry.isAsking && now >= entry.retryAt && now >= entry.recheckAt;
 }
 
 bool AdviceCache::wasAsked(const TaskName& step) const
@@ -44,7 +47,7 @@
     entry.wasAsked = true;
 }
 
-void AdviceCache::postpone(const TaskName& step, Millis until) { m_steps[keyOf(step)].askAgainAt = until; }
+void AdviceCache::postpone(const TaskName& step, Millis until) { m_steps[keyOf(step)].recheckAt = until; }
 
 void AdviceCache::storeAnswer(
     const AdviceCall& call, const std::optional<PlacementAdvice>& advice, Millis now)
@@ -53,11 +56,10 @@
     entry.isAsking = false;
     if (!advice) {
         auto doublings = std::min(entry.failures++, maxDelayDoublings);
-        entry.askAgainAt = now + Millis { retryDelayAfterFailure.count << doublings };
+        entry.retryAt = now + Millis { retryDelayAfterFailure.count << doublings };
         return;
     }
     entry.failures = 0;
-    entry.askAgainAt = now;
     auto margin = std::min(ticketSafetyMargin, Millis { advice->validFor.count / maxMarginDivisor });
     auto& approvals = m_approvals[call.queue];
     for (const auto& runner : call.runners) {
@@ -142,6 +144,7 @@
     for (auto& [key, entry] : m_steps) {
         entry.tickets.erase(runner);
         entry.refusedAt.erase(runner);
+        entry.recheckAt = {};
     }
 }
 
--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -16,6 +16,13 @@
 /// Limit on the steps of one search, so that a backlog doesn't slow down the leader.
 constexpr std::size_t maxExaminedSteps = 128;
 
+constexpr Millis timeoutOfUnknownDuration { 5000 };
+/// Allowance for the network and for a call of an earlier process on the same machine.
+constexpr Millis timeoutAllowance { 1000 };
+constexpr std::uint32_t maxTimeoutDoublings = 5;
+/// More than the calls that may wait at the service usually take.
+constexpr Millis maxTimeout { 30000 };
+
 /// What a call for a step is good for, in the order of preference.
 enum class CallPurpose : std::uint8_t {
     Start, ///< The step can start as soon as it is answered.
@@ -246,8 +253,8 @@
         const QueueSettings& queue, bool isReady)
     {
         ++m_examined;
-        auto possible = RunnerChoice(m_candidates.pool(queue.service), queue, m_cache, m_now)
-                            .choose(spec, state, step);
+        auto possible
+            = RunnerChoice(m_candidates.pool(queue.service), queue, m_cache, m_now).choose(spec, state, step);
         if (possible.call.runners.empty()) {
             m_cache.postpone(step, m_now + recheckDelay);
             return;
@@ -274,7 +281,16 @@
 
 Millis adviceDuration(const AdviceTiming& timing, std::size_t runners)
 {
-    return timing.callDuration + Millis { timing.durationPerRunner.count * static_cast<std::int64_t>(runners) };
+    return timing.callDuration
+        + Millis { timing.durationPerRunner.count * static_cast<std::int64_t>(runners) };
+}
+
+Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t failures)
+{
+    auto duration = adviceDuration(timing, runners);
+    auto first
+        = duration == Millis {} ? timeoutOfUnknownDuration : Millis { 2 * duration.count } + timeoutAllowance;
+    return std::min(maxTimeout, Millis { first.count << std::min(failures, maxTimeoutDoublings) });
 }
 
 std::size_t maxAdvisedRunners(const AdviceTiming& timing)
@@ -288,8 +304,8 @@
         std::clamp<std::int64_t>(available / timing.durationPerRunner.count, 1, most));
 }
 
-std::optional<AdviceCall> chooseAdviceCall(const JobStore& store, const CandidateIndex& candidates,
-    AdviceCache& cache, Millis wallNow, Millis now)
+std::optional<AdviceCall> chooseAdviceCall(
+    const JobStore& store, const CandidateIndex& candidates, AdviceCache& cache, Millis wallNow, Millis now)
 {
     return CallSearch(store, candidates, cache, now).search(wallNow);
 }
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -56,7 +56,6 @@
     m_waits.clear();
     m_waitingSince.clear();
     m_adviceCache.clear();
-    m_pendingAdviceCalls = 0;
 }
 
 void JobMaster::tick()
--- a/src/jobs/JobMasterAdvice.cpp
+++ b/src/jobs/JobMasterAdvice.cpp
@@ -8,8 +8,9 @@
 namespace celeryline {
 namespace {
 
-/// The service handles one call at a time, so a second call would only wait there while its tickets expire.
-constexpr std::size_t maxAdviceCalls = 1;
+constexpr Millis retryDelayAfterFailure { 200 };
+/// The delay doubles with each consecutive failure, up to 16 times the first one.
+constexpr std::uint32_t maxDelayDoublings = 4;
 
 } // namespace
 
@@ -17,30 +18,52 @@
 {
     const auto& queues = m_store.configuration().queues;
     auto needsAdvice = [](const QueueSettings& queue) { return queue.needsAdvice; };
-    if (m_advisor == nullptr || m_pendingAdviceCalls >= maxAdviceCalls
+    auto now = m_clock();
+    // The service handles one call at a time, so a second call would only wait there while its tickets
+    // expire.
+    if (m_advisor == nullptr || m_isAdvicePending || now.steady < m_adviceRetryAt
         || std::none_of(queues.begin(), queues.end(), needsAdvice))
         return;
-    auto now = m_clock();
     auto call = chooseAdviceCall(m_store, m_candidates, m_adviceCache, now.wall, now.steady);
     if (!call)
         return;
     m_adviceCache.markAsked(call->step);
-    ++m_pendingAdviceCalls;
+    m_isAdvicePending = true;
+    const auto& timing = findQueue(m_store.configuration(), call->queue)->adviceTiming;
+    auto timeout = adviceTimeout(timing, call->runners.size(), m_adviceFailures);
     describeStep("advice-asked", call->step)
         .with("runners", call->runners.size())
-        .with("calls", m_pendingAdviceCalls)
+        .with("timeoutMs", timeout)
         .write();
-    m_advisor->ask(call->step, call->runners,
+    m_advisor->ask(call->step, call->runners, timeout,
         [this, call = *call, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
+            // A call of an earlier term occupies the service, too.
+            m_isAdvicePending = false;
+            noteAdviceHealth(advice.has_value());
             if (term == m_log.term())
                 onAdvice(call, advice);
         });
 }
 
+void JobMaster::noteAdviceHealth(bool hasAnswered)
+{
+    auto now = m_clock().steady;
+    if (hasAnswered) {
+        if (m_adviceFailures != 0)
+            Event("advice-found").with("failures", m_adviceFailures).writeAlways();
+        m_adviceFailures = 0;
+        return;
+    }
+    if (m_adviceFailures == 0)
+        Event("advice-lost").writeAlways();
+    auto doublings = std::min(m_adviceFailures, maxDelayDoublings);
+    m_adviceRetryAt = now + Millis { retryDelayAfterFailure.count << doublings };
+    ++m_adviceFailures;
+}
+
 void JobMaster::onAdvice(const AdviceCall& call, const std::optional<PlacementAdvice>& advice)
 {
     auto now = m_clock().steady;
-    --m_pendingAdviceCalls;
     m_adviceCache.storeAnswer(call, advice, now);
     describeAnswer(call.step, advice, now - call.askedAt).write();
     m_mustPlan = true;
--- a/test/AdviceBurstTest.cpp
+++ b/test/AdviceBurstTest.cpp
@@ -76,3 +76,57 @@
     REQUIRE(simulation.startedJobs() == 4);
     REQUIRE(simulation.runUntilDone(Millis { 2 * jobs * 600 }));
 }
+
+// Guards against calls of earlier terms that stand before those of the current one at the service, so that
+// all tickets expire while they wait.
+TEST_CASE("Leaders that change quickly don't fill the advice service with calls", "[advice]")
+{
+    AdviceSimulation simulation(runners, {});
+    submitBurst(simulation, 12);
+    for (int i = 0; i < 10; ++i) {
+        simulation.startNextTerm();
+        simulation.runFor({ 300 }); // Long enough for a report of each runner.
+    }
+    REQUIRE(simulation.service.longestLine == 1);
+    REQUIRE(simulation.runUntilStarted(Millis { 8000 }));
+}
+
+// Guards against a line of abandoned calls at a service that was silent, behind which all calls time out.
+TEST_CASE("A burst of steps starts after the advice service was silent", "[advice]")
+{
+    AdviceSimulation simulation(runners, {});
+    simulation.service.isSilent = true;
+    submitBurst(simulation, 12);
+    simulation.runFor({ 60000 });
+    REQUIRE(simulation.startedJobs() == 0);
+    REQUIRE(simulation.service.callCount <= 6);
+    simulation.service.isSilent = false;
+    // The abandoned calls take 0.6 s each, and a call may be in flight that was sent before.
+    REQUIRE(simulation.runUntilStarted(Millis { 6 * 600 + 12 * 600 }));
+}
+
+// Guards against steps that take turns in calling a service that rejects them all, which keeps it busy.
+TEST_CASE("An advice service that rejects calls is called less and less often", "[advice]")
+{
+    AdviceServiceOptions options;
+    options.maxWaiting = 0;
+    AdviceSimulation simulation(runners, options);
+    simulation.service.occupyFor({ 20000 }); // By another caller of the same machine.
+    submitBurst(simulation, 12);
+    simulation.runFor({ 20000 });
+    REQUIRE(simulation.service.rejectedCount <= 10);
+    REQUIRE(simulation.runUntilStarted(Millis { 3200 + 12 * 600 }));
+}
+
+// Guards against jobs of other queues that wait for a service that they don't need.
+TEST_CASE("Jobs without advice start while the advice service is silent", "[advice]")
+{
+    AdviceSimulation simulation(runners, {});
+    simulation.service.isSilent = true;
+    submitBurst(simulation, 200);
+    constexpr int plainJobs = 20;
+    for (int i = 0; i < plainJobs; ++i)
+        simulation.submitPlain("plain" + std::to_string(i), makeStep(2, 500));
+    simulation.runFor({ 2000 });
+    REQUIRE(simulation.startedJobs() == plainJobs);
+}
--- a/test/AdviceCacheTest.cpp
+++ b/test/AdviceCacheTest.cpp
@@ -25,7 +25,7 @@
     {
     }
 
-    void ask(const TaskName&, const std::vector<std::string>&, Callback done) override
+    void ask(const TaskName&, const std::vector<std::string>&, Millis, Callback done) override
     {
         ++calls;
         done(PlacementAdvice { { { m_runner, "ticket" } }, { 3000 } });
@@ -127,7 +127,7 @@
 /// An advisor that approves no runner and answers on demand.
 class RefusingAdvisor final : public PlacementAdvisor {
 public:
-    void ask(const TaskName& step, const std::vector<std::string>& runners, Callback done) override
+    void ask(const TaskName& step, const std::vector<std::string>& runners, Millis, Callback done) override
     {
         asked.push_back(step.job.text());
         lastRunners = runners;
--- a/test/AdvicePlanTest.cpp
+++ b/test/AdvicePlanTest.cpp
@@ -18,6 +18,16 @@
     REQUIRE(maxAdvisedRunners({}) == PlacementAdvisor::maxRunners);
 }
 
+// Guards against calls that all time out behind those that timed out before and are still worked on.
+TEST_CASE("A call has more time after failed ones", "[advice]")
+{
+    AdviceTiming timing { { 400 }, { 50 }, { 3000 } };
+    REQUIRE(adviceTimeout(timing, 2, 0) == Millis { 2000 });
+    REQUIRE(adviceTimeout(timing, 2, 1) == Millis { 4000 });
+    REQUIRE(adviceTimeout(timing, 2, 100) == Millis { 30000 });
+    REQUIRE(adviceTimeout({}, 2, 0) == Millis { 5000 });
+}
+
 namespace {
 
 constexpr Millis now { 1000 };
@@ -76,7 +86,8 @@
 
 } // namespace
 
-// Guards against calls whose tickets expire without use, because no runner has room, while another pool waits.
+// Guards against calls whose tickets expire without use, because no runner has room, while another pool
+// waits.
 TEST_CASE("A step that could start is asked about before one without room", "[advice]")
 {
     TwoPools pools;
--- a/test/AdviceSimulation.cpp
+++ b/test/AdviceSimulation.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr Millis tickInterval { 10 };
-constexpr Millis clientTimeout { 5000 };
 const std::string plainQueue = "host/plain/";
 
 std::string stepKey(const TaskName& task)
@@ -29,19 +28,22 @@
 } // namespace
 
 void SimulatedAdviceService::ask(
-    const TaskName& step, const std::vector<std::string>& runners, Callback done)
+    const TaskName& step, const std::vector<std::string>& runners, Millis timeout, Callback done)
 {
     ++callCount;
     namedRunners += runners.size();
-    if (m_calls.size() > options.maxWaiting) {
+    bool isBusy = m_now < m_idleSince || !m_calls.empty();
+    if (isBusy && m_calls.size() >= options.maxWaiting) {
         ++rejectedCount;
         done(std::nullopt);
         return;
     }
-    m_calls.push_back({ step, runners, std::move(done), m_now, m_now + clientTimeout });
+    m_calls.push_back({ step, runners, std::move(done), m_now, m_now + timeout });
     longestLine = std::max(longestLine, m_calls.size());
 }
 
+void SimulatedAdviceService::occupyFor(Millis time) { m_idleSince = m_now + time; }
+
 Millis SimulatedAdviceService::finishOf(const Call& call) const
 {
     auto runners = static_cast<std::int64_t>(call.runners.size());
@@ -122,6 +124,12 @@
         step();
 }
 
+void AdviceSimulation::startNextTerm()
+{
+    ++kit.log.currentTerm;
+    kit.master.startTerm();
+}
+
 bool AdviceSimulation::runUntilStarted(Millis limit)
 {
     for (auto end = kit.moment.steady + limit; kit.moment.steady < end && m_started.size() < m_submitted;)
--- a/test/AdviceSimulation.h
+++ b/test/AdviceSimulation.h
@@ -36,11 +36,15 @@
     {
     }
 
-    void ask(const TaskName& step, const std::vector<std::string>& runners, Callback done) override;
+    void ask(const TaskName& step, const std::vector<std::string>& runners, Millis timeout,
+        Callback done) override;
 
     /// Answers the calls that are due and fails those that time out.
     void advanceTo(Millis now);
 
+    /// Lets a call of another client of the same machine be in progress for a while.
+    void occupyFor(Millis time);
+
     /// @return whether a ticket permits a start at the current time.
     bool isValid(const TaskName& task, const std::string& runner, const std::string& ticket) const;
 
@@ -64,9 +68,10 @@
     void answer(Call call, Millis finishedAt);
 
     Millis m_now;
-    Millis m_idleSince; ///< When the service last finished a call.
+    Millis m_idleSince; ///< When the service finishes the call of another client, or last finished a call.
     std::deque<Call> m_calls;
-    std::map<std::tuple<std::string, std::string, std::string>, Millis> m_tickets; ///< Until when each is valid.
+    std::map<std::tuple<std::string, std::string, std::string>, Millis>
+        m_tickets; ///< Until when each is valid.
 };
 
 /// A JobMaster with runners and an advice service.
@@ -82,6 +87,9 @@
 
     void runFor(Millis time);
 
+    /// Begins another term of leadership of the same process.
+    void startNextTerm();
+
     /// Runs until all submitted jobs have started.
     /// @return whether they have within the time.
     bool runUntilStarted(Millis limit);
--- a/test/StalledJobTest.cpp
+++ b/test/StalledJobTest.cpp
@@ -17,7 +17,7 @@
 /// An advisor that approves all requested runners with a long validity.
 class ApprovingAdvisor final : public PlacementAdvisor {
 public:
-    void ask(const TaskName&, const std::vector<std::string>& runners, Callback done) override
+    void ask(const TaskName&, const std::vector<std::string>& runners, Millis, Callback done) override
     {
         PlacementAdvice advice;
         for (const auto& runner : runners)
