Accept a heartbeat only if it can name a runner

Cause: a heartbeat's born, seq and numbers were taken as they came. A born of 2^63-1 counts as a later life of the runner, so all that it ran was started elsewhere at once, while the runner worked on under its lease; its own heartbeats counted as those of an earlier life. A seq of 2^63-1 made all later heartbeats outdated, an end number of 2^63-1 would have been acknowledged to the runner, and the number of a run was cut to 32 bits. Addresses without a usable port, slots of another type and entries without a zone or a version were acknowledged as runners.

Now decodeHeartbeat() refuses (400) what PROTOCOL's fields don't allow: an address that isn't IP:port, a missing zone, version or slots, fields of another type, a start more than 60 s in the future, more calls than one a millisecond since the start (60 s allowance for clocks), numbers of runs and ends out of range, capacities beyond a million cores. The last also holds for the provider's rows. parseSocketAddress() took anything after white space in an IPv4 address; it doesn't any more.

Not covered: an entry with all fields sound and a start up to 60 s in the future can't be told from a restarted runner.

MalformedBodyTest's sound sample lacked version and has it now.

--- a/src/base/SocketAddress.cpp
+++ b/src/base/SocketAddress.cpp
@@ -2,6 +2,8 @@
 
 #include <Poco/Net/IPAddress.h>
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <cstdint>
 
@@ -30,7 +32,11 @@
     } else if (text.find(':') != std::string::npos) {
         return std::nullopt;
     }
+    // The C library accepts anything after white space that follows an IPv4 address.
+    auto isAllowed = [](unsigned char c) { return std::isxdigit(c) != 0 || c == '.' || c == ':'; };
     Poco::Net::IPAddress ip;
+    if (!std::all_of(text.begin(), text.end(), isAllowed))
+        return std::nullopt;
     if (!Poco::Net::IPAddress::tryParse(text, ip))
         return std::nullopt;
     return ip;
--- a/test/platform/MalformedBodyTest.cpp
+++ b/test/platform/MalformedBodyTest.cpp
@@ -28,11 +28,11 @@
                         R"({"count":2,"cpu":2000,"after":[0],"saves_progress":true,"may_miss":1}]})",
         [](const std::string& body) { decodeJob("5c0e7a21d94b36f8", "host/queue/", body); } });
     samples.push_back(
-        { R"({"service":"s","addr":"10.0.0.9:80","zone":"z","slots":8,"state":"ready","born":17,)"
+        { R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"state":"ready","born":17,)"
           R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"seq":4,)"
           R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00bb",41]],)"
           R"("ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
-            [](const std::string& body) { decodeHeartbeat("i-1", body); } });
+            [](const std::string& body) { decodeHeartbeat("i-1", body, { 1000 }); } });
     samples.push_back({ R"({"version":7,"routes":[{"name":"r","host":"h.example","path_prefix":"/p/",)"
                         R"("timeout_ms":3000,"slo_ms":3600,"priority":1,"service":"s","stretch":1.6}],)"
                         R"("services":[{"name":"s","rejects_overload":true,"standby":false}]})",
--- a/test/platform/WireCodecTest.cpp
+++ b/test/platform/WireCodecTest.cpp
@@ -25,6 +25,9 @@
     "born":1700000000000,"seq":4,"machine":"m-1","running":[["5c0e7a21d94b36f8.0.1.17",2,"check",41,120]],
     "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
 
+/// Half a minute after the start of the runner in the report above.
+constexpr Millis wallNow { 1700000030000 };
+
 std::string replaced(std::string text, const std::string& from, const std::string& to)
 {
     return text.replace(text.find(from), from.size(), to);
@@ -104,7 +107,7 @@
 
 TEST_CASE("A heartbeat is decoded", "[platform]")
 {
-    auto decoded = decodeHeartbeat("i-1", report);
+    auto decoded = decodeHeartbeat("i-1", report, wallNow);
     REQUIRE(decoded.incarnation == RunnerIncarnation { "i-1", { 1700000000000 } });
     REQUIRE(decoded.sequence == 4);
     REQUIRE(decoded.machine == "m-1");
@@ -120,10 +123,61 @@
 {
     for (const auto* field : { "\"service\":\"s\",", "\"addr\":\"10.0.0.9:80\",", "\"seq\":4,",
              "\"born\":1700000000000,", "\"state\":\"ready\"," })
-        REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, field, "")), Error);
-    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, "\"ready\"", "\"asleep\"")), Error);
-    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, "\"seq\":4", "\"seq\":true")), Error);
-    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, ".0.1.17", ".0.x.17")), Error);
+        REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, field, ""), wallNow), Error);
+    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, "\"ready\"", "\"asleep\""), wallNow), Error);
+    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, "\"seq\":4", "\"seq\":true"), wallNow), Error);
+    REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, ".0.1.17", ".0.x.17"), wallNow), Error);
+}
+
+// Guards against an entry of another writer that is taken for a runner and gets tasks that never start.
+TEST_CASE("A heartbeat with a field of another type or out of range names no runner", "[platform]")
+{
+    const std::vector<std::pair<std::string, std::string>> odd {
+        { "10.0.0.9:80", "10.0.0.9:0" },
+        { "10.0.0.9:80", "10.0.0.9:70000" },
+        { "10.0.0.9:80", "10.0.0.9:-1" },
+        { "10.0.0.9:80", "10.0.0.9" },
+        { "10.0.0.9:80", ":9" },
+        { "10.0.0.9:80", "unix:/x" },
+        { "10.0.0.9:80", "10.0.0.9\\n:80" },
+        { "10.0.0.9:80", "10.0.0.9:80\\n" },
+        { "10.0.0.9:80", std::string(3000, '1') + ":80" },
+        { R"("zone":"z",)", "" },
+        { R"("zone":"z")", R"("zone":7)" },
+        { R"("version":"v1",)", "" },
+        { R"("version":"v1")", R"("version":["v1"])" },
+        { R"("slots":8,)", "" },
+        { R"("slots":8)", R"("slots":"8")" },
+        { R"("slots":8)", R"("slots":-1)" },
+        { R"("slots":8)", R"("slots":1e999)" },
+        { R"("cold_left_ms":0)", R"("cold_left_ms":"soon")" },
+        { R"("cpu":16000)", R"("cpu":-1)" },
+        { R"("cpu":16000)", R"("cpu":4000000000000)" },
+        { R"("labels":["a","r1-3"])", R"("labels":[["a"]])" },
+        { R"("born":1700000000000)", R"("born":9223372036854775807)" },
+        { R"("born":1700000000000)", R"("born":1700000090001)" },
+        { R"("born":1700000000000)", R"("born":-1)" },
+        { R"("born":1700000000000)", R"("born":0)" },
+        { R"("born":1700000000000)", R"("born":17.5)" },
+        { R"("seq":4)", R"("seq":9223372036854775807)" },
+        { R"("seq":4)", R"("seq":90001)" },
+        { R"("seq":4)", R"("seq":-1)" },
+        { R"(17",2)", R"(17",4294967298)" },
+        { R"(17",2)", R"(17",0)" },
+        { R"([[58,)", R"([[-58,)" },
+        { R"([[58,)", R"([[9223372036854775807,)" },
+    };
+    for (const auto& [from, to] : odd) {
+        INFO(to.substr(0, 100));
+        REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, from, to), wallNow), Error);
+    }
+}
+
+// Guards against runners that are refused because clocks differ by some seconds.
+TEST_CASE("A heartbeat is accepted if the clock of its runner is fast or slow", "[platform]")
+{
+    REQUIRE_NOTHROW(decodeHeartbeat("i-1", report, { 1700000000000 - 5000 }));
+    REQUIRE_NOTHROW(decodeHeartbeat("i-1", replaced(report, "\"seq\":4", "\"seq\":60000"), wallNow));
 }
 
 // Guards against a crash or an infinite loop on malformed input.
@@ -145,7 +199,7 @@
         } catch (const Error&) {
         }
         try {
-            decodeHeartbeat("id", corrupt(report));
+            decodeHeartbeat("id", corrupt(report), wallNow);
         } catch (const Error&) {
         }
     }
--- a/test/platform_rig/malformed.py
+++ b/test/platform_rig/malformed.py
@@ -1,7 +1,9 @@
 """Malformed messages to the listeners and the internal RPC port of a machine."""
+import json
 import socket
 import struct
 import threading
+import time
 
 from platform_rig.machines import CONTROL_PORT, FIRST_RPC_PORT, FRONT_PORT, METRICS_PORT, READY_PORT
 
@@ -12,6 +14,7 @@
 LARGE_BODY = 8 << 20
 DEEP_NESTING = 100_000
 MAX_WORD = 0xFFFFFFFF
+MAX_INTEGER = (1 << 63) - 1
 HTTP_PORTS = {"control": (CONTROL_PORT, METRICS_PORT), "entry": (FRONT_PORT, READY_PORT, METRICS_PORT)}
 
 
@@ -20,6 +23,32 @@
     return f"{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: {length}\r\n\r\n".encode() + body
 
 
+def odd_heartbeats():
+    """Returns bodies that look like the heartbeat of a runner but for one field; they name no runner."""
+    sound = {"service": "quotes", "addr": "127.0.0.1:9", "zone": "milano-a", "version": "v1", "slots": 8, "state": "ready",
+             "cold_left_ms": 0, "born": int(time.time() * 1000), "seq": 1, "labels": ["a", "r1"],
+             "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}}
+    odd = [("addr", address) for address in ("127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", ":9", "unix:/x",
+                                             "1" * 3000 + ":9", "127.0.0.1\n:9", 7, None)]
+    odd += [("born", MAX_INTEGER), ("born", -1), ("born", "now"), ("seq", MAX_INTEGER), ("seq", -1), ("slots", "8"),
+            ("slots", 1 << 64), ("zone", None), ("version", 1), ("state", "asleep"), ("labels", "a"), ("labels", [[]]),
+            ("capacity", {"cpu": MAX_INTEGER}), ("capacity", [])]
+    bodies = [json.dumps({**sound, field: value}).encode() for field, value in odd]
+    bodies += [json.dumps({**sound, field: "?"}).encode().replace(b'"?"', value)
+               for field in ("slots", "seq", "labels") for value in (b"1e999", b"[" * DEEP_NESTING + b"]" * DEEP_NESTING)]
+    return bodies
+
+
+def odd_machine_rows():
+    """Returns rows that another writer may have left in the provider's list of machines."""
+    sound = {"pool": "quotes", "state": "up", "zone": "milano-a", "labels": ["a", "r1"], "id": "i-odd",
+             "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}}
+    return [None, 7, [], {}, {"machine": 7}, {"machine": ""}, *[
+        {**sound, "machine": f"m-odd-{number}", **changed} for number, changed in enumerate([
+            {"capacity": {"cpu": -1}}, {"capacity": {"cpu": 1 << 64}}, {"capacity": {"cpu": "4000"}}, {"labels": "a"},
+            {"pool": 7}, {"state": []}, {"id": 1.5}])]]
+
+
 def http_messages(random):
     """Returns messages that a listener for HTTP must refuse or ignore."""
     paths = ["/config", "/instances/i-malformed", "/wave-start", "/quotes/00000000000000aa"]
@@ -32,7 +61,10 @@
         b'{"service":"quotes","addr":"a","born":1,"seq":1,"state":"ready","capacity":{"cpu":1},'
         b'"ended":[[-1,"00000000000000aa.0.0.0",1,"done",""]]}',
     ]
-    messages = [http_message("POST" if path[1] in "qw" else "PUT", path, body) for path in paths for body in bodies]
+    # Also under the id of a sound runner.
+    heartbeats = [http_message("PUT", f"/instances/{runner}", body)
+                  for runner in ("i-malformed", "i-1") for body in odd_heartbeats()]
+    messages = heartbeats + [http_message("POST" if path[1] in "qw" else "PUT", path, body) for path in paths for body in bodies]
     messages += [http_message("PUT", "/config", b"{}", HUGE_LENGTH), http_message("PUT", "/config", b"{}", -1),
                  b"PUT /config HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
                  b"GET /" + b"a" * 100_000 + b" HTTP/1.1\r\n\r\n", b"GET / HTTP/1.1\r\nA: " + b"b" * 100_000,
