Ignore advice on a runner that restarted during the call

A ticket is valid during one life of its runner. Tickets that were stored already were dropped when the runner reported a new life, but those in the answer to a call in flight were stored under the runner's id and given to its next life, which refuses the start: the step waits for another call, and callers pay for a start that didn't happen.

AdviceCache now remembers which runners left or restarted during the call in flight and takes over nothing about them.

Test that failed before: "An answer about a runner that restarted during the call isn't used".

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -72,7 +73,7 @@
     /// Invalidates a ticket that a runner refused.
     void dropTicket(const TaskName& step, const std::string& runner);
 
-    /// Drops what is known about a runner that left or restarted.
+    /// Drops what is known about a runner that left or restarted, and what the call in flight says about it.
     /// @param runner its id.
     void removeRunner(const std::string& runner);
 
@@ -106,6 +107,8 @@
     static bool isValid(const Ticket& ticket, Millis now);
 
     std::map<Key, Entry> m_steps;
+    bool m_isAsking = false; ///< A call is in flight; there is one at most.
+    std::set<std::string> m_changedRunners; ///< Runners that left or restarted during the call.
     std::map<std::string, Approvals> m_approvals; ///< By queue key.
 };
 
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -23,6 +23,8 @@
 {
     m_steps.clear();
     m_approvals.clear();
+    m_isAsking = false;
+    m_changedRunners.clear();
 }
 
 bool AdviceCache::mayAsk(const TaskName& step, Millis now) const
@@ -45,6 +47,8 @@
     auto& entry = m_steps[keyOf(step)];
     entry.isAsking = true;
     entry.wasAsked = true;
+    m_isAsking = true;
+    m_changedRunners.clear();
 }
 
 void AdviceCache::postpone(const TaskName& step, Millis until) { m_steps[keyOf(step)].recheckAt = until; }
@@ -54,6 +58,7 @@
 {
     auto& entry = m_steps[keyOf(call.step)];
     entry.isAsking = false;
+    m_isAsking = false;
     if (!advice) {
         auto doublings = std::min(entry.failures++, maxDelayDoublings);
         entry.retryAt = now + Millis { retryDelayAfterFailure.count << doublings };
@@ -63,6 +68,8 @@
     auto margin = std::min(ticketSafetyMargin, Millis { advice->validFor.count / maxMarginDivisor });
     auto& approvals = m_approvals[call.queue];
     for (const auto& runner : call.runners) {
+        if (m_changedRunners.count(runner) != 0)
+            continue; // A ticket is valid during one life of the runner only.
         auto approved = advice->tickets.find(runner);
         approvals.named += 1;
         if (approved == advice->tickets.end()) {
@@ -141,6 +148,8 @@
 
 void AdviceCache::removeRunner(const std::string& runner)
 {
+    if (m_isAsking)
+        m_changedRunners.insert(runner);
     for (auto& [key, entry] : m_steps) {
         entry.tickets.erase(runner);
         entry.refusedAt.erase(runner);
--- a/test/AdviceCacheTest.cpp
+++ b/test/AdviceCacheTest.cpp
@@ -90,6 +90,21 @@
     REQUIRE(cache.adviceOn(step, "s", { 9000 }) == RunnerAdvice::Refused);
 }
 
+// Guards against starts that are refused because their ticket was issued for an earlier life of the runner.
+TEST_CASE("An answer about a runner that restarted during the call isn't used", "[advice]")
+{
+    AdviceCache cache;
+    cache.markAsked(step);
+    cache.removeRunner("r");
+    cache.storeAnswer(
+        call({ "r", "s" }), PlacementAdvice { { { "r", "t" }, { "s", "u" } }, { 3000 } }, { 1000 });
+    REQUIRE(cache.adviceOn(step, "r", { 1000 }) == RunnerAdvice::Unknown);
+    REQUIRE(cache.adviceOn(step, "s", { 1000 }) == RunnerAdvice::Approved);
+    cache.markAsked(step);
+    cache.storeAnswer(call({ "r" }), PlacementAdvice { { { "r", "t" } }, { 3000 } }, { 1500 });
+    REQUIRE(cache.adviceOn(step, "r", { 1500 }) == RunnerAdvice::Approved);
+}
+
 // Guards against calls for so few or so many runners that each step needs several or takes very long.
 TEST_CASE("The approved share of a queue follows the answers", "[advice]")
 {
