Use the tickets of a slow advice service

Callers saw that no step of a burst ever started while the service took 4 s a call in place of the configured 0.4 s (simulation): the calls timed out, or their tickets, counted from the call, had expired on arrival.

PROTOCOL doesn't say from which moment valid_ms counts. Counting from the call is safe, and stays the rule. A ticket that is worthless by it is now tried for 0.5 s after the answer, since a service may count from there; the cost of a wrong guess is one refused start. A runner that refuses a late ticket ends the use of all late tickets for 10 s, and a ticket that was refused is never used again (before, it was sent again at once for as long as it seemed valid). An answer takes a doubling of the timeout back only if it came in less than half of the timeout, so that a slow service keeps the time that it needs.

AdviceCache::adviceOn(step) tells what is known about a step, for the log. Advice on steps of ended jobs is dropped.

Tests: "A burst of steps starts at the rate of a slow advice service" failed without late use, and with timeouts that an answer resets. "A ticket that a runner refused isn't used again" and "A ticket that comes late is used at once unless a runner has refused one" test the cache.

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -23,6 +23,20 @@
     Refused ///< The service doesn't approve it.
 };
 
+/// What is known about a step.
+enum class StepAdvice : std::uint8_t {
+    NotAsked, ///< The service hasn't been asked about it.
+    Asking, ///< A call is in flight.
+    Failing, ///< The last call failed.
+    Refused, ///< The service approved none of the runners that it was asked about.
+    Expired, ///< All tickets have expired or were refused.
+    Approved ///< There is a valid ticket.
+};
+
+/// @param advice what is known about a step.
+/// @return its name in log events.
+const char* stepAdviceName(StepAdvice advice);
+
 /// A call of the advice service.
 struct AdviceCall {
     TaskName step; ///< Any task of the step.
@@ -51,13 +65,17 @@
     /// @param until steady time until which mayAsk() returns false.
     void postpone(const TaskName& step, Millis until);
 
-    /// Stores the response to a call.
+    /// Stores the response to a call. Its tickets count from the call, but are used for a moment after the
+    /// response in any case, since a slow service may count from there: see refuseTicket().
     /// @param advice the advice; nothing if the call failed, it is then repeated after a growing delay.
     void storeAnswer(const AdviceCall& call, const std::optional<PlacementAdvice>& advice, Millis now);
 
     /// @return what is known about a runner for a step.
     RunnerAdvice adviceOn(const TaskName& step, const std::string& runner, Millis now) const;
 
+    /// @return what is known about a step.
+    StepAdvice adviceOn(const TaskName& step, Millis now) const;
+
     /// @return whether the service refused a runner so long ago that it may be asked again.
     bool mayAskAgain(const TaskName& step, const std::string& runner, Millis now) const;
 
@@ -70,8 +88,9 @@
     /// @return the share of the named runners that the service approved in recent calls of a queue, above 0.
     double approvedShare(const std::string& queue) const;
 
-    /// Invalidates a ticket that a runner refused.
-    void dropTicket(const TaskName& step, const std::string& runner);
+    /// Records that a runner refused a start with its ticket, which isn't used again. If the ticket was used
+    /// only because the response had come late, such tickets aren't used for a while.
+    void refuseTicket(const TaskName& step, const std::string& runner, Millis now);
 
     /// Drops what is known about a runner that left or restarted, and what the call in flight says about it.
     /// @param runner its id.
@@ -86,6 +105,7 @@
         std::string text;
         Millis validUntil; ///< Steady time.
         Millis safetyMargin; ///< Time before that in which it isn't used any more.
+        bool isLate = false; ///< It has expired if its validity counts from the call.
     };
     struct Entry {
         std::map<std::string, Ticket> tickets; ///< Latest ticket of each approved runner, by id.
@@ -104,12 +124,14 @@
     using Key = std::tuple<JobId, std::uint32_t, std::uint32_t>;
 
     static Key keyOf(const TaskName& step) { return { step.job, step.occurrence, step.step }; }
-    static bool isValid(const Ticket& ticket, Millis now);
+    bool isValid(const Ticket& ticket, Millis now) const;
+    Ticket makeTicket(const std::string& text, Millis validFor, Millis askedAt, Millis now) const;
 
     std::map<Key, Entry> m_steps;
     bool m_isAsking = false; ///< A call is in flight; there is one at most.
     std::set<std::string> m_changedRunners; ///< Runners that left or restarted during the call.
     std::map<std::string, Approvals> m_approvals; ///< By queue key.
+    Millis m_noLateTicketsUntil; ///< Steady time.
 };
 
 } // namespace celeryline
--- a/include/celeryline/jobs/AdvicePlan.h
+++ b/include/celeryline/jobs/AdvicePlan.h
@@ -17,10 +17,13 @@
 
 /// @param timing durations of a queue's advice service.
 /// @param runners number of runners that a call names.
-/// @param failures number of consecutive failed calls before it. The service goes on working at a call that
-/// timed out, so the next one is given more time.
+/// @param doublings how often earlier calls that timed out have doubled it: the service may be slow, and goes
+/// on working at them.
 /// @return the timeout of the call.
-Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t failures);
+Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t doublings);
+
+/// Limit on the doublings of a timeout.
+constexpr std::uint32_t maxTimeoutDoublings = 5;
 
 /// The tickets count from the call, so a call must leave enough of their validity.
 /// @param timing durations of a queue's advice service.
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -206,7 +206,7 @@
     bool isServing(const TaskName& task, const TaskState& state) const;
     bool mayRecall(const RunName& run) const;
     void askForAdvice();
-    void noteAdviceHealth(bool hasAnswered);
+    void noteAdviceHealth(bool hasAnswered, bool isQuick);
     void onAdvice(const AdviceCall& call, const std::optional<PlacementAdvice>& advice);
     void throttleBestEffort(const RunnerReport& report, RunnerOrders& orders);
     ServingLatency servingLatencyOf(const RunnerReport& report) const;
@@ -264,6 +264,7 @@
     AdviceCache m_adviceCache;
     bool m_isAdvicePending = false; ///< A call of the advisor is in flight, perhaps of an earlier term.
     std::uint32_t m_adviceFailures = 0; ///< Consecutive failed calls of the advisor.
+    std::uint32_t m_timeoutDoublings = 0; ///< Doublings of the timeout of the advisor's calls.
     Millis m_adviceRetryAt; ///< Steady time until which the advisor isn't called after a failure.
     Millis m_lag; ///< How long recent messages waited before they were processed.
     Millis m_nextHousekeeping;
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -9,6 +9,10 @@
 constexpr Millis ticketSafetyMargin { 300 };
 /// Limit on the margin of tickets with a short validity, as a part of it.
 constexpr std::int64_t maxMarginDivisor = 4;
+/// How long a ticket is used after the response even if its validity, counted from the call, is over.
+constexpr Millis lateTicketUse { 500 };
+/// How long late tickets aren't used after a runner has refused one.
+constexpr Millis lateTicketPause { 10000 };
 constexpr Millis retryDelayAfterFailure { 200 };
 /// The delay doubles with each consecutive failure, up to 16 times the first one.
 constexpr std::uint32_t maxDelayDoublings = 4;
@@ -19,6 +23,25 @@
 
 } // namespace
 
+const char* stepAdviceName(StepAdvice advice)
+{
+    switch (advice) {
+    case StepAdvice::NotAsked:
+        return "not-asked";
+    case StepAdvice::Asking:
+        return "asking";
+    case StepAdvice::Failing:
+        return "failing";
+    case StepAdvice::Refused:
+        return "refused";
+    case StepAdvice::Expired:
+        return "expired";
+    case StepAdvice::Approved:
+        return "approved";
+    }
+    return "";
+}
+
 void AdviceCache::clear()
 {
     m_steps.clear();
@@ -65,7 +88,6 @@
         return;
     }
     entry.failures = 0;
-    auto margin = std::min(ticketSafetyMargin, Millis { advice->validFor.count / maxMarginDivisor });
     auto& approvals = m_approvals[call.queue];
     for (const auto& runner : call.runners) {
         if (m_changedRunners.count(runner) != 0)
@@ -78,15 +100,29 @@
         }
         approvals.approved += 1;
         entry.refusedAt.erase(runner);
-        entry.tickets[runner] = { approved->second, call.askedAt + advice->validFor, margin };
+        entry.tickets[runner] = makeTicket(approved->second, advice->validFor, call.askedAt, now);
     }
     if (approvals.named > maxNamedInShare)
         approvals = { approvals.named / 2, approvals.approved / 2 };
 }
 
-bool AdviceCache::isValid(const Ticket& ticket, Millis now)
+AdviceCache::Ticket AdviceCache::makeTicket(
+    const std::string& text, Millis validFor, Millis askedAt, Millis now) const
+{
+    auto margin = std::min(ticketSafetyMargin, Millis { validFor.count / maxMarginDivisor });
+    Ticket ticket { text, askedAt + validFor, margin };
+    auto lateUse = std::min(lateTicketUse, validFor - margin);
+    if (ticket.validUntil < now + margin + lateUse && now >= m_noLateTicketsUntil) {
+        ticket.isLate = true;
+        ticket.validUntil = now + margin + lateUse;
+    }
+    return ticket;
+}
+
+bool AdviceCache::isValid(const Ticket& ticket, Millis now) const
 {
-    return now + ticket.safetyMargin <= ticket.validUntil;
+    bool isPaused = ticket.isLate && now < m_noLateTicketsUntil;
+    return !isPaused && now + ticket.safetyMargin <= ticket.validUntil;
 }
 
 RunnerAdvice AdviceCache::adviceOn(const TaskName& step, const std::string& runner, Millis now) const
@@ -101,6 +137,21 @@
     return entry.refusedAt.count(runner) != 0 ? RunnerAdvice::Refused : RunnerAdvice::Unknown;
 }
 
+StepAdvice AdviceCache::adviceOn(const TaskName& step, Millis now) const
+{
+    auto found = m_steps.find(keyOf(step));
+    if (found == m_steps.end() || (!found->second.wasAsked && found->second.tickets.empty()))
+        return StepAdvice::NotAsked;
+    const auto& entry = found->second;
+    if (hasTicket(step, now))
+        return StepAdvice::Approved;
+    if (entry.isAsking)
+        return StepAdvice::Asking;
+    if (entry.failures != 0)
+        return StepAdvice::Failing;
+    return entry.tickets.empty() ? StepAdvice::Refused : StepAdvice::Expired;
+}
+
 bool AdviceCache::mayAskAgain(const TaskName& step, const std::string& runner, Millis now) const
 {
     auto found = m_steps.find(keyOf(step));
@@ -115,7 +166,7 @@
     auto found = m_steps.find(keyOf(step));
     return found != m_steps.end()
         && std::any_of(found->second.tickets.begin(), found->second.tickets.end(),
-            [now](const auto& ticket) { return isValid(ticket.second, now); });
+            [&](const auto& ticket) { return isValid(ticket.second, now); });
 }
 
 const std::string* AdviceCache::ticket(const TaskName& step, const std::string& runner, Millis now) const
@@ -136,14 +187,17 @@
     return (approvals.approved + 1) / (approvals.named + 2);
 }
 
-void AdviceCache::dropTicket(const TaskName& step, const std::string& runner)
+void AdviceCache::refuseTicket(const TaskName& step, const std::string& runner, Millis now)
 {
     auto found = m_steps.find(keyOf(step));
     if (found == m_steps.end())
         return;
     auto ticket = found->second.tickets.find(runner);
-    if (ticket != found->second.tickets.end())
-        ticket->second.validUntil = {};
+    if (ticket == found->second.tickets.end())
+        return;
+    ticket->second.validUntil = {};
+    if (ticket->second.isLate)
+        m_noLateTicketsUntil = now + lateTicketPause;
 }
 
 void AdviceCache::removeRunner(const std::string& runner)
--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -19,7 +19,6 @@
 constexpr Millis timeoutOfUnknownDuration { 5000 };
 /// Allowance for the network and for a call of an earlier process on the same machine.
 constexpr Millis timeoutAllowance { 1000 };
-constexpr std::uint32_t maxTimeoutDoublings = 5;
 /// More than the calls that may wait at the service usually take.
 constexpr Millis maxTimeout { 30000 };
 
@@ -285,12 +284,12 @@
         + Millis { timing.durationPerRunner.count * static_cast<std::int64_t>(runners) };
 }
 
-Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t failures)
+Millis adviceTimeout(const AdviceTiming& timing, std::size_t runners, std::uint32_t doublings)
 {
     auto duration = adviceDuration(timing, runners);
     auto first
         = duration == Millis {} ? timeoutOfUnknownDuration : Millis { 2 * duration.count } + timeoutAllowance;
-    return std::min(maxTimeout, Millis { first.count << std::min(failures, maxTimeoutDoublings) });
+    return std::min(maxTimeout, Millis { first.count << std::min(doublings, maxTimeoutDoublings) });
 }
 
 std::size_t maxAdvisedRunners(const AdviceTiming& timing)
--- a/src/jobs/JobMasterAdvice.cpp
+++ b/src/jobs/JobMasterAdvice.cpp
@@ -30,25 +30,28 @@
     m_adviceCache.markAsked(call->step);
     m_isAdvicePending = true;
     const auto& timing = findQueue(m_store.configuration(), call->queue)->adviceTiming;
-    auto timeout = adviceTimeout(timing, call->runners.size(), m_adviceFailures);
+    auto timeout = adviceTimeout(timing, call->runners.size(), m_timeoutDoublings);
     describeStep("advice-asked", call->step)
         .with("runners", call->runners.size())
         .with("timeoutMs", timeout)
         .write();
     m_advisor->ask(call->step, call->runners, timeout,
-        [this, call = *call, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
+        [this, call = *call, timeout, term = m_log.term()](const std::optional<PlacementAdvice>& advice) {
             // A call of an earlier term occupies the service, too.
             m_isAdvicePending = false;
-            noteAdviceHealth(advice.has_value());
+            bool isQuick = 2 * (m_clock().steady - call.askedAt).count < timeout.count;
+            noteAdviceHealth(advice.has_value(), isQuick);
             if (term == m_log.term())
                 onAdvice(call, advice);
         });
 }
 
-void JobMaster::noteAdviceHealth(bool hasAnswered)
+void JobMaster::noteAdviceHealth(bool hasAnswered, bool isQuick)
 {
     auto now = m_clock().steady;
     if (hasAnswered) {
+        // A service that needs the longer timeout keeps it.
+        m_timeoutDoublings -= isQuick && m_timeoutDoublings != 0 ? 1 : 0;
         if (m_adviceFailures != 0)
             Event("advice-found").with("failures", m_adviceFailures).writeAlways();
         m_adviceFailures = 0;
@@ -59,6 +62,8 @@
     auto doublings = std::min(m_adviceFailures, maxDelayDoublings);
     m_adviceRetryAt = now + Millis { retryDelayAfterFailure.count << doublings };
     ++m_adviceFailures;
+    // A call that fails at once needs no more time.
+    m_timeoutDoublings = isQuick ? m_timeoutDoublings : std::min(m_timeoutDoublings + 1, maxTimeoutDoublings);
 }
 
 void JobMaster::onAdvice(const AdviceCall& call, const std::optional<PlacementAdvice>& advice)
--- a/src/jobs/JobMasterHealth.cpp
+++ b/src/jobs/JobMasterHealth.cpp
@@ -29,6 +29,8 @@
         const auto* end = std::get_if<EndRun>(&command);
         if (end == nullptr)
             continue;
+        if (end->outcome == RunOutcome::Refused)
+            m_adviceCache.refuseTicket(end->run.task, incarnation.runner, m_clock().steady);
         const auto* step = m_store.findStep(end->run.task);
         // Failures of long-running tasks say nothing about the runner; they may happen at any time.
         if (step != nullptr && step->isLongRunning)
@@ -131,7 +133,7 @@
     };
     m_adviceCache.removeEnded([this](const TaskName& name) {
         const auto* job = m_store.findJob(name.job);
-        return job == nullptr || job->occurrences.count(name.occurrence) == 0;
+        return job == nullptr || job->phase != JobPhase::Open || job->occurrences.count(name.occurrence) == 0;
     });
     for (auto it = m_hints.speculativeTasks.begin(); it != m_hints.speculativeTasks.end();)
         it = isOver(*it) ? m_hints.speculativeTasks.erase(it) : std::next(it);
--- a/test/AdviceBurstTest.cpp
+++ b/test/AdviceBurstTest.cpp
@@ -130,3 +130,30 @@
     simulation.runFor({ 2000 });
     REQUIRE(simulation.startedJobs() == plainJobs);
 }
+
+// Guards against a burst that never starts because the service takes longer than its configuration says: all
+// calls time out, or all tickets count as expired when they arrive.
+TEST_CASE("A burst of steps starts at the rate of a slow advice service", "[advice]")
+{
+    AdviceSimulation simulation(runners, {});
+    simulation.service.options.decide = { 4000 }; // The configuration says 400 ms, and 3 s of validity.
+    submitBurst(simulation, 12);
+    constexpr std::int64_t firstAnswer
+        = 20000; // Until the timeouts have grown and abandoned calls have ended.
+    REQUIRE(simulation.runUntilStarted(Millis { firstAnswer + 12 * 4200 }));
+    REQUIRE(simulation.refusedStarts == 0);
+}
+
+// Guards against a refused start with each answer of a slow service that counts its tickets from the call.
+TEST_CASE("Late tickets are tried rarely while runners refuse them", "[advice]")
+{
+    AdviceServiceOptions options;
+    options.countsFromCall = true;
+    AdviceSimulation simulation(runners, options);
+    simulation.service.options.decide = { 4000 };
+    submitBurst(simulation, 12);
+    simulation.runFor({ 60000 });
+    // Each try is a step of two tasks.
+    REQUIRE(simulation.refusedStarts > 0);
+    REQUIRE(simulation.refusedStarts <= 2 * 60000 / 10000);
+}
--- a/test/AdviceCacheTest.cpp
+++ b/test/AdviceCacheTest.cpp
@@ -105,6 +105,48 @@
     REQUIRE(cache.adviceOn(step, "r", { 1500 }) == RunnerAdvice::Approved);
 }
 
+// Guards against starts that a runner refuses again and again with the same ticket.
+TEST_CASE("A ticket that a runner refused isn't used again", "[advice]")
+{
+    AdviceCache cache;
+    cache.storeAnswer(call({ "r" }), PlacementAdvice { { { "r", "t" } }, { 30000 } }, { 1000 });
+    cache.refuseTicket(step, "r", { 1500 });
+    REQUIRE(cache.ticket(step, "r", { 1500 }) == nullptr);
+    REQUIRE(cache.adviceOn(step, "r", { 1500 }) == RunnerAdvice::Expired);
+}
+
+// Guards against a step that never starts because a slow service answers only after its tickets' validity,
+// and against refused starts if the service counts the validity from the call.
+TEST_CASE("A ticket that comes late is used at once unless a runner has refused one", "[advice]")
+{
+    AdviceCache cache;
+    const PlacementAdvice advice { { { "r", "t" } }, { 3000 } };
+    cache.storeAnswer(call({ "r" }), advice, { 4000 });
+    REQUIRE(cache.ticket(step, "r", { 4500 }) != nullptr);
+    REQUIRE(cache.ticket(step, "r", { 4501 }) == nullptr);
+    cache.refuseTicket(step, "r", { 4200 });
+    cache.storeAnswer(call({ "r" }), advice, { 8000 });
+    REQUIRE(cache.ticket(step, "r", { 8000 }) == nullptr);
+    cache.storeAnswer(call({ "r" }), advice, { 14200 });
+    REQUIRE(cache.ticket(step, "r", { 14200 }) != nullptr);
+}
+
+// Guards against a wait for advice that the log doesn't explain.
+TEST_CASE("What is known about a step tells why it waits", "[advice]")
+{
+    AdviceCache cache;
+    REQUIRE(cache.adviceOn(step, { 0 }) == StepAdvice::NotAsked);
+    cache.markAsked(step);
+    REQUIRE(cache.adviceOn(step, { 0 }) == StepAdvice::Asking);
+    cache.storeAnswer(call({ "r" }), std::nullopt, { 1000 });
+    REQUIRE(cache.adviceOn(step, { 1000 }) == StepAdvice::Failing);
+    cache.storeAnswer(call({ "r" }), PlacementAdvice { {}, { 3000 } }, { 1000 });
+    REQUIRE(cache.adviceOn(step, { 1000 }) == StepAdvice::Refused);
+    cache.storeAnswer(call({ "s" }), PlacementAdvice { { { "s", "t" } }, { 3000 } }, { 1000 });
+    REQUIRE(cache.adviceOn(step, { 1000 }) == StepAdvice::Approved);
+    REQUIRE(cache.adviceOn(step, { 3000 }) == StepAdvice::Expired);
+}
+
 // Guards against calls for so few or so many runners that each step needs several or takes very long.
 TEST_CASE("The approved share of a queue follows the answers", "[advice]")
 {
