Skip steps without a ticket before the search for a runner

A job with valid tickets didn't start while 256 jobs before it in its queue had none (test): each of them was searched for in vain, and after that many searches a plan leaves the rest of a queue alone. With steps that the service approves nowhere at the front, that lasts for good.

The plan now looks first whether a step has any ticket; if not, it doesn't count as a search. This also saves a lookup for each runner of the pool. AdviceCheck has two functions for it in place of one.

--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -43,8 +43,13 @@
 bool canPlace(const CandidateIndex& candidates, const StepSpec& spec, const StepState& step,
     const std::string& service);
 
-/// Returns whether the advice service approved a runner for a step.
-using AdviceCheck = std::function<bool(const TaskName& step, const std::string& runner)>;
+/// The tickets of the advice service.
+struct AdviceCheck {
+    /// Returns whether there is a ticket for any runner for a step.
+    std::function<bool(const TaskName& step)> hasTicket;
+    /// Returns whether the advice service approved a runner for a step.
+    std::function<bool(const TaskName& step, const std::string& runner)> isAdvised;
+};
 
 /// Chooses starts for tasks that are ready. Long-running jobs come first, then jobs that can still meet their
 /// objective, by priority and latest start. Late jobs get the remaining capacity, because their results are
@@ -59,11 +64,11 @@
 /// @param candidates runners that accept new tasks; the reservations of the starts are subtracted.
 /// @param wallNow wall time.
 /// @param hints uncommitted state that influences placement.
-/// @param isAdvised checks approval for steps of queues that need advice; without it they don't start.
+/// @param advice tickets for steps of queues that need advice; without it they don't start.
 /// @return the starts.
 ///
 /// Example: `for (const auto& start : planStarts(store, candidates, wallNow)) { propose(start); }`
 std::vector<StartRun> planStarts(const JobStore& store, CandidateIndex& candidates, Millis wallNow,
-    const PlacementHints& hints = {}, const AdviceCheck& isAdvised = nullptr);
+    const PlacementHints& hints = {}, const AdviceCheck& advice = {});
 
 } // namespace celeryline
--- a/include/celeryline/jobs/WaitReport.h
+++ b/include/celeryline/jobs/WaitReport.h
@@ -44,12 +44,12 @@
 /// @param starting jobs of which that plan starts a task.
 /// @param wallNow wall time.
 /// @param hints uncommitted state that influences placement.
-/// @param isAdvised checks approval for steps of queues that need advice; without it they don't start.
+/// @param advice tickets for steps of queues that need advice; without it they don't start.
 /// @return one entry per pool with a waiting job, by pool; their `waited` is 0.
 ///
 /// Example: `for (const auto& wait : findPoolWaits(store, runners, {}, wallNow)) { log(wait); }`
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
     const std::set<JobId>& starting, Millis wallNow, const PlacementHints& hints = {},
-    const AdviceCheck& isAdvised = nullptr);
+    const AdviceCheck& advice = {});
 
 } // namespace celeryline
--- a/src/jobs/JobMasterPlan.cpp
+++ b/src/jobs/JobMasterPlan.cpp
@@ -113,9 +113,12 @@
 
 AdviceCheck JobMaster::adviceCheck(Millis now) const
 {
-    return [this, now](const TaskName& step, const std::string& runner) {
+    AdviceCheck check;
+    check.hasTicket = [this, now](const TaskName& step) { return m_adviceCache.hasTicket(step, now); };
+    check.isAdvised = [this, now](const TaskName& step, const std::string& runner) {
         return m_adviceCache.ticket(step, runner, now) != nullptr;
     };
+    return check;
 }
 
 void JobMaster::setReserved(std::set<std::string> runners)
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -62,11 +62,11 @@
 class TaskPlacer {
 public:
     TaskPlacer(const JobStore& store, CandidateIndex& candidates, const PlacementHints& hints,
-        const AdviceCheck& isAdvised)
+        const AdviceCheck& advice)
         : m_store(store)
         , m_candidates(candidates)
         , m_hints(hints)
-        , m_isAdvised(isAdvised)
+        , m_advice(advice)
     {
     }
 
@@ -83,7 +83,7 @@
     /// @return whether the search found no runner for any task.
     bool placeJob(const JobState& job, const QueueSettings& queue)
     {
-        if (queue.needsAdvice && !m_isAdvised)
+        if (queue.needsAdvice && !m_advice.isAdvised)
             return true;
         m_needsAdvice = queue.needsAdvice;
         auto startsBefore = m_starts.size();
@@ -97,6 +97,9 @@
                     continue;
                 if (isStepReady(job.spec.steps, steps, i)) {
                     TaskName first { job.spec.id, occurrence, static_cast<std::uint32_t>(i), 0 };
+                    // Without a search, because hundreds of such steps must not hide those with tickets.
+                    if (m_needsAdvice && !m_advice.hasTicket(first))
+                        continue;
                     placeStep(spec, steps[i], first, queue.service);
                     hasSearched = true;
                 }
@@ -212,7 +215,7 @@
             std::int64_t tasksHere = held == onRunner.end() ? 0 : held->second;
             if (!isAllowed(spec, *candidate, tasksHere))
                 continue;
-            if (m_needsAdvice && !m_isAdvised(name, candidate->incarnation.runner))
+            if (m_needsAdvice && !m_advice.isAdvised(name, candidate->incarnation.runner))
                 continue;
             bool hasFailed = hasFailedOn(failures, candidate->incarnation.runner);
             if (hasFailed && mustAvoid(*failures, m_hints.now, spec, candidate->incarnation.runner, pool))
@@ -237,7 +240,7 @@
     const JobStore& m_store;
     CandidateIndex& m_candidates;
     const PlacementHints& m_hints;
-    const AdviceCheck& m_isAdvised;
+    const AdviceCheck& m_advice;
     /// By pool and required label.
     std::map<std::pair<std::string, std::string>, UnplaceableDemands> m_unplaceable;
     std::string m_rack; ///< Preferred rack of the current step; empty if it has none.
@@ -365,9 +368,9 @@
 }
 
 std::vector<StartRun> planStarts(const JobStore& store, CandidateIndex& candidates, Millis wallNow,
-    const PlacementHints& hints, const AdviceCheck& isAdvised)
+    const PlacementHints& hints, const AdviceCheck& advice)
 {
-    TaskPlacer placer(store, candidates, hints, isAdvised);
+    TaskPlacer placer(store, candidates, hints, advice);
     JobScheduler(store, candidates, placer).placeAll(wallNow);
     for (const auto& task : hints.speculativeTasks)
         placer.placeSpeculative(task);
--- a/src/jobs/WaitReport.cpp
+++ b/src/jobs/WaitReport.cpp
@@ -53,11 +53,11 @@
 /// Counts the runners of a pool by the reason for which they can't take a task.
 class ReasonCounter {
 public:
-    ReasonCounter(const StepSpec& spec, const OldestJob& oldest, const PlacementHints& hints,
-        const AdviceCheck& isAdvised)
+    ReasonCounter(
+        const StepSpec& spec, const OldestJob& oldest, const PlacementHints& hints, const AdviceCheck& advice)
         : m_spec(spec)
         , m_oldest(oldest)
-        , m_isAdvised(isAdvised)
+        , m_advice(advice)
         , m_now(hints.now)
     {
         auto failed = hints.failedOn.find(oldest.task);
@@ -96,13 +96,14 @@
         const auto& id = runner.candidate.incarnation.runner;
         if (hasFailedOn(m_failures, id) && mustAvoid(*m_failures, m_now, m_spec, id, available))
             return WaitReason::FailedThere;
-        bool lacksAdvice = m_oldest.queue->needsAdvice && (!m_isAdvised || !m_isAdvised(m_oldest.task, id));
+        bool lacksAdvice
+            = m_oldest.queue->needsAdvice && (!m_advice.isAdvised || !m_advice.isAdvised(m_oldest.task, id));
         return lacksAdvice ? WaitReason::NoAdvice : WaitReason::HasRoom;
     }
 
     const StepSpec& m_spec;
     const OldestJob& m_oldest;
-    const AdviceCheck& m_isAdvised;
+    const AdviceCheck& m_advice;
     Millis m_now; ///< Steady time.
     const FailureTimes* m_failures = nullptr; ///< Null if the task has no failures.
 };
@@ -164,8 +165,7 @@
 }
 
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
-    const std::set<JobId>& starting, Millis wallNow, const PlacementHints& hints,
-    const AdviceCheck& isAdvised)
+    const std::set<JobId>& starting, Millis wallNow, const PlacementHints& hints, const AdviceCheck& advice)
 {
     std::vector<PoolWait> waits;
     for (const auto& [pool, oldest] : findOldest(store, starting)) {
@@ -181,7 +181,7 @@
         wait.isGang = spec.isGang;
         wait.lateness = latenessOf(*oldest.job, wallNow);
         wait.age = wallNow - dueTime(*oldest.job);
-        wait.runners = ReasonCounter(spec, oldest, hints, isAdvised).count(runners);
+        wait.runners = ReasonCounter(spec, oldest, hints, advice).count(runners);
         waits.push_back(std::move(wait));
     }
     return waits;
--- a/test/WaitReportTest.cpp
+++ b/test/WaitReportTest.cpp
@@ -111,8 +111,9 @@
     submit(store, makeJob("a", { makeStep(1) }));
     std::vector<PoolRunner> runners { makeRunner("named"), makeRunner("r") };
     REQUIRE(findPoolWaits(store, runners, {}, wall)[0].runners == Counts { { WaitReason::NoAdvice, 2 } });
-    auto isAdvised = [](const TaskName&, const std::string& runner) { return runner == "named"; };
-    REQUIRE(findPoolWaits(store, runners, {}, wall, {}, isAdvised)[0].runners
+    AdviceCheck advice { [](const TaskName&) { return true; },
+        [](const TaskName&, const std::string& runner) { return runner == "named"; } };
+    REQUIRE(findPoolWaits(store, runners, {}, wall, {}, advice)[0].runners
         == Counts { { WaitReason::HasRoom, 1 }, { WaitReason::NoAdvice, 1 } });
 }
 
