--- a/src/jobs/JobMasterWaits.cpp
+++ b/src/jobs/JobMasterWaits.cpp
@@ -46,8 +46,13 @@
     m_waits = findPoolWaits(m_store, runners, starting, now.wall, m_hints, adviceCheck(now.steady));
     updateWaitTimes(now.steady);
     for (const auto& wait : m_waits) {
-        if (wait.waited >= waitReportThreshold)
-            describeWait(wait).writeAlways(); // At most one line per pool and check.
+        if (wait.waited < waitReportThreshold)
+            continue;
+        auto event = describeWait(wait);
+        const auto* queue = findQueue(m_store.configuration(), m_store.findJob(wait.task.job)->spec.queue);
+        if (queue != nullptr && queue->needsAdvice)
+            event.with("advice", stepAdviceName(m_adviceCache.adviceOn(wait.task, now.steady)));
+        event.writeAlways(); // At most one line per pool and check.
     }
 }
 
