--- a/test/AdviceSimulation.cpp
+++ b/test/AdviceSimulation.cpp
@@ -57,7 +57,7 @@
         auto finishedAt = finishOf(m_calls.front());
         auto call = std::move(m_calls.front());
         m_calls.pop_front();
-        answer(std::move(call), finishedAt);
+        answer(call, finishedAt);
         m_idleSince = finishedAt;
     }
     for (auto& call : m_calls) {
@@ -66,7 +66,7 @@
     }
 }
 
-void SimulatedAdviceService::answer(Call call, Millis finishedAt)
+void SimulatedAdviceService::answer(const Call& call, Millis finishedAt)
 {
     PlacementAdvice advice;
     advice.validFor = options.validity;
--- a/test/AdviceSimulation.h
+++ b/test/AdviceSimulation.h
@@ -65,7 +65,7 @@
     };
 
     Millis finishOf(const Call& call) const;
-    void answer(Call call, Millis finishedAt);
+    void answer(const Call& call, Millis finishedAt);
 
     Millis m_now;
     Millis m_idleSince; ///< When the service finishes the call of another client, or last finished a call.
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -393,10 +393,11 @@
     configuration.queues.front().needsAdvice = true;
     JobStore store;
     store.apply(AcceptConfiguration { configuration }, {});
-    for (int i = 0; i < 300; ++i)
+    for (int i = 0; i < 300; ++i) {
         store.apply(
             SubmitJob { makeJob("waiting-" + std::to_string(i), { makeStep(1) }), { wall.count - 1000 } },
             {});
+    }
     store.apply(SubmitJob { makeJob("with-ticket", { makeStep(1) }), wall }, {});
     AdviceCheck advice;
     advice.hasTicket = [](const TaskName& step) { return step.job == JobId("with-ticket"); };
