Don't use the result of a search for advice that found nothing

A control process ended (SIGSEGV in the test) when the search for the next call had looked at 128 steps without anything to ask, for example because the pool of hundreds of waiting steps had no runner: the search returned a call that it hadn't found.

Test that failed before: "Many steps without anything to ask don't hide another one" (SIGSEGV).

--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -197,19 +197,19 @@
     {
         for (const auto& waiting : waitingJobs(m_store, wallNow)) {
             considerJob(*waiting.job, *waiting.queue, true);
-            if (isDone())
-                return std::move(m_best->call);
+            if (isDone(CallPurpose::Start))
+                break;
         }
-        bool canWait = m_best && m_best->purpose < CallPurpose::Prepare;
-        if (!canWait)
+        if (!isDone(CallPurpose::WaitForRoom))
             considerFollowers();
         return m_best ? std::optional<AdviceCall>(std::move(m_best->call)) : std::nullopt;
     }
 
 private:
-    bool isDone() const
+    /// @return whether there is a call that is as useful as wanted, or enough steps were examined.
+    bool isDone(CallPurpose wanted) const
     {
-        return (m_best && m_best->purpose == CallPurpose::Start) || m_examined >= maxExaminedSteps;
+        return (m_best && m_best->purpose <= wanted) || m_examined >= maxExaminedSteps;
     }
 
     void considerFollowers()
@@ -219,7 +219,7 @@
             const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
             if (queue != nullptr && queue->needsAdvice)
                 considerJob(job, *queue, false);
-            if (m_examined >= maxExaminedSteps || (m_best && m_best->purpose == CallPurpose::Prepare))
+            if (isDone(CallPurpose::Prepare))
                 return;
         }
     }
--- a/test/AdvicePlanTest.cpp
+++ b/test/AdvicePlanTest.cpp
@@ -128,3 +128,18 @@
     pools.cache.storeAnswer({ { "a", 0, 1, 0 }, "host/queue/", { "r" }, now }, std::nullopt, { 0 });
     REQUIRE(pools.next() == "none");
 }
+
+// Guards against a search that ends the process, or hides later steps for good, after many steps about which
+// there is nothing to ask.
+TEST_CASE("Many steps without anything to ask don't hide another one", "[advice]")
+{
+    TwoPools pools;
+    pools.candidates.remove("r");
+    for (int i = 0; i < 300; ++i)
+        pools.submit("waiting" + std::to_string(i), { makeStep(1) });
+    pools.submit(
+        "z", { makeStep(1) }, "host/other/", wallNow + Millis { 1 }); // Its latest start is the latest.
+    REQUIRE(pools.next() == "none");
+    REQUIRE(pools.next() == "none");
+    REQUIRE(pools.next() == "z.0");
+}
