Order a start with the ticket that it was planned with

A start that was committed while its ticket was valid went out without a ticket if the runner reported in the last 300 ms of the validity, or after it. Runners refuse every start without a ticket, so the step waited for another call, and with short validities never started (test: a validity of 1 s, calls of 0.55 s, a report 0.9 s apart).

The order now carries the latest ticket; whether it is still valid is for the runner's clock to decide. New starts are planned with valid tickets only, as before.

Test that failed before: "A start that was planned with a ticket is ordered with it".

--- a/include/celeryline/jobs/AdviceCache.h
+++ b/include/celeryline/jobs/AdviceCache.h
@@ -85,6 +85,10 @@
     /// @return the ticket that permits a runner to run the step; null if there is no valid one.
     const std::string* ticket(const TaskName& step, const std::string& runner, Millis now) const;
 
+    /// @return the latest ticket of a runner for the step, valid or not; null if there is none. For orders
+    /// that are on their way already: the runner decides.
+    const std::string* latestTicket(const TaskName& step, const std::string& runner) const;
+
     /// @return the share of the named runners that the service approved in recent calls of a queue, above 0.
     double approvedShare(const std::string& queue) const;
 
--- a/src/jobs/AdviceCache.cpp
+++ b/src/jobs/AdviceCache.cpp
@@ -170,13 +170,17 @@
 }
 
 const std::string* AdviceCache::ticket(const TaskName& step, const std::string& runner, Millis now) const
+{
+    return adviceOn(step, runner, now) == RunnerAdvice::Approved ? latestTicket(step, runner) : nullptr;
+}
+
+const std::string* AdviceCache::latestTicket(const TaskName& step, const std::string& runner) const
 {
     auto found = m_steps.find(keyOf(step));
     if (found == m_steps.end())
         return nullptr;
     auto ticket = found->second.tickets.find(runner);
-    bool isUsable = ticket != found->second.tickets.end() && isValid(ticket->second, now);
-    return isUsable ? &ticket->second.text : nullptr;
+    return ticket == found->second.tickets.end() ? nullptr : &ticket->second.text;
 }
 
 double AdviceCache::approvedShare(const std::string& queue) const
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -250,7 +250,7 @@
         if (isReported(report, run) || !mustRun(run, report.incarnation))
             continue;
         const auto* task = m_store.findTask(run.task);
-        const auto* ticket = m_adviceCache.ticket(run.task, report.incarnation.runner, m_clock().steady);
+        const auto* ticket = m_adviceCache.latestTicket(run.task, report.incarnation.runner);
         orders.starts.push_back({ run, m_store.findJob(run.task.job)->spec.payload, task->checkpoint,
             ticket == nullptr ? std::string() : *ticket });
     }
--- a/test/AdviceBurstTest.cpp
+++ b/test/AdviceBurstTest.cpp
@@ -157,3 +157,17 @@
     REQUIRE(simulation.refusedStarts > 0);
     REQUIRE(simulation.refusedStarts <= 2 * 60000 / 10000);
 }
+
+// Guards against a start without a ticket, which a runner always refuses, because the ticket is about to
+// expire when the runner reports; its own clock decides.
+TEST_CASE("A start that was planned with a ticket is ordered with it", "[advice]")
+{
+    AdviceServiceOptions options;
+    options.validity = { 1000 };
+    AdviceSimulation simulation(1, options);
+    simulation.submit("job", makeStep(1, 500));
+    simulation.setReportInterval(
+        { 900 }); // The plan comes 0.55 s after the call, the report some time later.
+    REQUIRE(simulation.runUntilStarted({ 3000 }));
+    REQUIRE(simulation.refusedStarts == 0);
+}
--- a/test/AdviceCacheTest.cpp
+++ b/test/AdviceCacheTest.cpp
@@ -50,6 +50,8 @@
     REQUIRE(*cache.ticket(step, "r", { 2000 }) == "t");
     REQUIRE(cache.ticket(step, "other", { 2000 }) == nullptr);
     REQUIRE(cache.ticket(step, "r", { 2800 }) == nullptr);
+    REQUIRE(*cache.latestTicket(step, "r") == "t");
+    REQUIRE(cache.latestTicket(step, "other") == nullptr);
     REQUIRE(cache.mayAsk(step, { 2800 }));
     REQUIRE(cache.adviceOn(step, "r", { 2800 }) == RunnerAdvice::Expired);
 }
--- a/test/AdviceSimulation.cpp
+++ b/test/AdviceSimulation.cpp
@@ -190,7 +190,7 @@
     for (const auto& active : runner.active)
         report.running.push_back({ active.run, "", 0, 0 });
     report.ended = runner.ended;
-    runner.nextReport = kit.moment.steady + Millis { 250 };
+    runner.nextReport = kit.moment.steady + m_reportInterval;
     if (auto orders = kit.report(report))
         obey(runner, *orders);
 }
--- a/test/AdviceSimulation.h
+++ b/test/AdviceSimulation.h
@@ -85,6 +85,9 @@
     /// Submits a job of one step to a queue without advice, with the same pool.
     void submitPlain(const std::string& id, const StepSpec& step);
 
+    /// Sets how long after an answer runners report again, unless a task ends.
+    void setReportInterval(Millis interval) { m_reportInterval = interval; }
+
     void runFor(Millis time);
 
     /// Begins another term of leadership of the same process.
@@ -131,6 +134,7 @@
     void addEnd(Runner& runner, const RunName& run, RunOutcome outcome);
 
     std::vector<Runner> m_runners;
+    Millis m_reportInterval { 250 };
     std::size_t m_submitted = 0;
     std::set<std::string> m_started;
 };
