--- a/test/platform/AdviceClientTest.cpp
+++ b/test/platform/AdviceClientTest.cpp
@@ -98,14 +98,14 @@
     REQUIRE_FALSE(results.front());
 }
 
-// Guards against a step without advice because the service adds one odd row to its answer.
-TEST_CASE("An odd row in the advice costs only itself", "[platform]")
+// Guards against a step without advice because the service adds one invalid row to its answer.
+TEST_CASE("An invalid row in the advice costs only itself", "[platform]")
 {
-    auto odd = GENERATE(values<std::string>({ "7", "[]", R"(["i-2"])", R"([2,"t"])", R"(["i-2",{}])",
+    auto row = GENERATE(values<std::string>({ "7", "[]", R"(["i-2"])", R"([2,"t"])", R"(["i-2",{}])",
         R"(["i-2",1e999])", R"(["i-2",18446744073709551616])", "null", R"(["","t"])", R"(["i-2",""])" }));
-    INFO(odd);
+    INFO(row);
     auto results
-        = callOnce(httpResponse("200 OK", R"({"approved":[)" + odd + R"(,["i-1","t"]],"valid_ms":3000})"));
+        = callOnce(httpResponse("200 OK", R"({"approved":[)" + row + R"(,["i-1","t"]],"valid_ms":3000})"));
     REQUIRE(results.size() == 1);
     REQUIRE(results.front());
     REQUIRE(results.front()->tickets == std::map<std::string, std::string> { { "i-1", "t" } });
--- a/test/platform/WireCodecTest.cpp
+++ b/test/platform/WireCodecTest.cpp
@@ -132,7 +132,7 @@
 // Guards against an entry of another writer that is taken for a runner and gets tasks that never start.
 TEST_CASE("A heartbeat with a field of another type or out of range names no runner", "[platform]")
 {
-    const std::vector<std::pair<std::string, std::string>> odd {
+    const std::vector<std::pair<std::string, std::string>> replacements {
         { "10.0.0.9:80", "10.0.0.9:0" },
         { "10.0.0.9:80", "10.0.0.9:70000" },
         { "10.0.0.9:80", "10.0.0.9:-1" },
@@ -167,7 +167,7 @@
         { R"([[58,)", R"([[-58,)" },
         { R"([[58,)", R"([[9223372036854775807,)" },
     };
-    for (const auto& [from, to] : odd) {
+    for (const auto& [from, to] : replacements) {
         INFO(to.substr(0, 100));
         REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, from, to), wallNow), Error);
     }
@@ -266,28 +266,29 @@
 
 namespace {
 
-/// Decodes a list of a sound machine, an odd row and another sound machine.
-std::vector<MachineInfo> decodeBesideSound(const std::string& oddRow)
+/// Decodes a list of a valid row, another row and a second valid one.
+std::vector<MachineInfo> decodeBesideValid(const std::string& row)
 {
-    const std::string sound
+    const std::string valid
         = R"("pool":"s","state":"up","zone":"z","labels":["a"],"capacity":{"cpu":4000},"id":")";
     std::vector<MachineInfo> machines;
-    decodeMachinePage(R"({"machines":[{"machine":"m-1",)" + sound + R"(i-1"},)" + oddRow
-            + R"(,{"machine":"m-3",)" + sound + R"(i-3"}],"next_token":null})",
+    decodeMachinePage(R"({"machines":[{"machine":"m-1",)" + valid + R"(i-1"},)" + row
+            + R"(,{"machine":"m-3",)" + valid + R"(i-3"}],"next_token":null})",
         machines);
     return machines;
 }
 
 } // namespace
 
-// Guards against a leader that sees no machine come, go or move while one row of the provider's list is odd.
-TEST_CASE("An odd row in the list of machines costs only itself", "[platform]")
+// Guards against a leader that sees no machine come, go or move while one row of the provider's list is
+// invalid.
+TEST_CASE("An invalid row in the list of machines costs only itself", "[platform]")
 {
-    auto odd
+    auto row
         = GENERATE(values<std::string>({ "null", "7", "[]", "{}", R"({"machine":""})", R"({"machine":7})",
             "{\"machine\":\"\xff\"}", R"({"machine":1e999})", R"({"pool":"s","capacity":{"cpu":1e400}})" }));
-    INFO(odd);
-    auto machines = decodeBesideSound(odd);
+    INFO(row);
+    auto machines = decodeBesideValid(row);
     REQUIRE(machines.size() == 2);
     REQUIRE(machines[0].runner == "i-1");
     REQUIRE(machines[1].runner == "i-3");
@@ -302,7 +303,7 @@
         R"("labels":"a")", R"("labels":[1])", R"("state":4)", R"("pool":{})", "\"pool\":\"\xff\"",
         R"("id":-1e999)", R"("text":"1e999 \" {","id":1e999)" }));
     INFO(field);
-    auto machines = decodeBesideSound(R"({"machine":"m-2",)" + field + "}");
+    auto machines = decodeBesideValid(R"({"machine":"m-2",)" + field + "}");
     REQUIRE(machines.size() == 3);
     REQUIRE(machines[0].runner == "i-1");
     REQUIRE(machines[1].machine == "m-2");
@@ -316,6 +317,6 @@
 {
     constexpr std::size_t depth = 50000;
     auto nested = std::string(depth, '[') + std::string(depth, ']');
-    REQUIRE(decodeBesideSound(nested).size() == 2);
-    REQUIRE(decodeBesideSound(R"({"machine":"m-2","labels":)" + nested + "}").size() == 3);
+    REQUIRE(decodeBesideValid(nested).size() == 2);
+    REQUIRE(decodeBesideValid(R"({"machine":"m-2","labels":)" + nested + "}").size() == 3);
 }
--- a/test/platform_rig/handovers.py
+++ b/test/platform_rig/handovers.py
@@ -10,7 +10,7 @@
 from platform_rig.callers import SERVICES, Client
 from platform_rig.faults import MARGIN, wait_for_room
 from platform_rig.machines import FRONT_PORT
-from platform_rig.malformed import Recorder, attack, http_message, odd_machine_rows, peak_megabytes
+from platform_rig.malformed import Recorder, attack, http_message, invalid_machine_rows, peak_megabytes
 from platform_rig.sites import ACK_TIMEOUT, APPLY_TIME, FINISH, RECOVERY
 
 HANDOVERS = 3
@@ -191,13 +191,13 @@
 def malformed_messages(rig):
     """Malformed messages and unfinished connections reach each listener and RPC port; no process ends or swells.
 
-    Odd entries stand among those of the runners and machines; the work on the sound ones goes on.
+    Invalid entries stand among those of the runners and machines; the work on the valid ones goes on.
     """
     recorder = Recorder(rig.site.add_foreign_seed())
     rig.start()
     rig.wait(lambda: recorder.recordings, SETTLE_TIME, "a message of the internal protocol is recorded")
     recorder.close()
-    rig.provider.odd_rows = odd_machine_rows()
+    rig.provider.invalid_rows = invalid_machine_rows()
     machines = rig.site.slots + rig.site.entries
     attack(machines, rig.random, recorder.recordings)
     rig.note(f"{len(recorder.recordings)} recordings, {sum(map(len, recorder.recordings))} bytes")
--- a/test/platform_rig/malformed.py
+++ b/test/platform_rig/malformed.py
@@ -23,28 +23,28 @@
     return f"{method} {path} HTTP/1.1\r\nHost: jobs.example\r\nContent-Length: {length}\r\n\r\n".encode() + body
 
 
-def odd_heartbeats():
-    """Returns bodies that look like the heartbeat of a runner but for one field; they name no runner."""
-    sound = {"service": "quotes", "addr": "127.0.0.1:9", "zone": "milano-a", "version": "v1", "slots": 8, "state": "ready",
+def invalid_heartbeats():
+    """Returns heartbeats with one invalid field each; they name no runner."""
+    valid = {"service": "quotes", "addr": "127.0.0.1:9", "zone": "milano-a", "version": "v1", "slots": 8, "state": "ready",
              "cold_left_ms": 0, "born": int(time.time() * 1000), "seq": 1, "labels": ["a", "r1"],
              "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}}
-    odd = [("addr", address) for address in ("127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", ":9", "unix:/x",
+    changes = [("addr", address) for address in ("127.0.0.1:0", "127.0.0.1:70000", "127.0.0.1:-1", "127.0.0.1", ":9", "unix:/x",
                                              "1" * 3000 + ":9", "127.0.0.1\n:9", 7, None)]
-    odd += [("born", MAX_INTEGER), ("born", -1), ("born", "now"), ("seq", MAX_INTEGER), ("seq", -1), ("slots", "8"),
+    changes += [("born", MAX_INTEGER), ("born", -1), ("born", "now"), ("seq", MAX_INTEGER), ("seq", -1), ("slots", "8"),
             ("slots", 1 << 64), ("zone", None), ("version", 1), ("state", "asleep"), ("labels", "a"), ("labels", [[]]),
             ("capacity", {"cpu": MAX_INTEGER}), ("capacity", [])]
-    bodies = [json.dumps({**sound, field: value}).encode() for field, value in odd]
-    bodies += [json.dumps({**sound, field: "?"}).encode().replace(b'"?"', value)
+    bodies = [json.dumps({**valid, field: value}).encode() for field, value in changes]
+    bodies += [json.dumps({**valid, field: "?"}).encode().replace(b'"?"', value)
                for field in ("slots", "seq", "labels") for value in (b"1e999", b"[" * DEEP_NESTING + b"]" * DEEP_NESTING)]
     return bodies
 
 
-def odd_machine_rows():
+def invalid_machine_rows():
     """Returns rows that another writer may have left in the provider's list of machines."""
-    sound = {"pool": "quotes", "state": "up", "zone": "milano-a", "labels": ["a", "r1"], "id": "i-odd",
+    valid = {"pool": "quotes", "state": "up", "zone": "milano-a", "labels": ["a", "r1"], "id": "i-invalid",
              "capacity": {"cpu": 4000, "mem_mb": 8192, "gpu": 0}}
     return [None, 7, [], {}, {"machine": 7}, {"machine": ""}, *[
-        {**sound, "machine": f"m-odd-{number}", **changed} for number, changed in enumerate([
+        {**valid, "machine": f"m-invalid-{number}", **changed} for number, changed in enumerate([
             {"capacity": {"cpu": -1}}, {"capacity": {"cpu": 1 << 64}}, {"capacity": {"cpu": "4000"}}, {"labels": "a"},
             {"pool": 7}, {"state": []}, {"id": 1.5}])]]
 
@@ -61,9 +61,9 @@
         b'{"service":"quotes","addr":"a","born":1,"seq":1,"state":"ready","capacity":{"cpu":1},'
         b'"ended":[[-1,"00000000000000aa.0.0.0",1,"done",""]]}',
     ]
-    # Also under the id of a sound runner.
+    # Also under the id of a running runner.
     heartbeats = [http_message("PUT", f"/instances/{runner}", body)
-                  for runner in ("i-malformed", "i-1") for body in odd_heartbeats()]
+                  for runner in ("i-malformed", "i-1") for body in invalid_heartbeats()]
     messages = heartbeats + [http_message("POST" if path[1] in "qw" else "PUT", path, body) for path in paths for body in bodies]
     messages += [http_message("PUT", "/config", b"{}", HUGE_LENGTH), http_message("PUT", "/config", b"{}", -1),
                  b"PUT /config HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n",
--- a/test/platform_rig/provider.py
+++ b/test/platform_rig/provider.py
@@ -43,7 +43,7 @@
         self.wave_limits = {}
         self.orders = {}  # Machine to its newest order.
         self.lives = 0
-        self.odd_rows = []  # Listed beside the machines.
+        self.invalid_rows = []  # Listed beside the machines.
         host, port = site.provider_address.split(":")
         self.server = ProviderServer((host, int(port)), self._handler_class())
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
@@ -58,7 +58,7 @@
 
     def list_machines(self):
         with self.lock:
-            return self.odd_rows + [{"machine": name, "pool": runner.service, "state": STATES[self.states[name]], "zone": "milano-a",
+            return self.invalid_rows + [{"machine": name, "pool": runner.service, "state": STATES[self.states[name]], "zone": "milano-a",
                      "labels": ["a", "r1"], "capacity": CAPACITY, "id": runner.name}
                     for name, runner in self.runners.items()]
 
