Move a test of plans with tickets beside the other tests of advice

The case is unchanged but for its builders; it still fails if the plan searches for steps without a ticket (checked by taking the condition out).

--- a/test/AdvicePlanTest.cpp
+++ b/test/AdvicePlanTest.cpp
@@ -1,6 +1,7 @@
 #include "celeryline/jobs/AdvicePlan.h"
 
 #include "AdviceSimulation.h"
+#include "celeryline/jobs/StartPlan.h"
 
 #include <catch2/catch.hpp>
 
@@ -143,3 +144,21 @@
     REQUIRE(pools.next() == "none");
     REQUIRE(pools.next() == "z.0");
 }
+
+// Guards against starvation of a job with tickets because hundreds of jobs before it in its queue have none.
+TEST_CASE("Jobs that wait for advice don't hold up others of their queue", "[advice]")
+{
+    TwoPools pools;
+    for (int i = 0; i < 300; ++i) {
+        pools.submit(
+            "waiting" + std::to_string(i), { makeStep(1) }, "host/queue/", wallNow - Millis { 1000 });
+    }
+    pools.submit("with-ticket", { makeStep(1) });
+    AdviceCheck advice;
+    advice.hasTicket = [](const TaskName& step) { return step.job == JobId("with-ticket"); };
+    advice.isAdvised
+        = [](const TaskName& step, const std::string&) { return step.job == JobId("with-ticket"); };
+    auto starts = planStarts(pools.store, pools.candidates, wallNow, {}, advice);
+    REQUIRE(starts.size() == 1);
+    REQUIRE(starts[0].run.task.job == "with-ticket");
+}
--- a/test/StartPlanTest.cpp
+++ b/test/StartPlanTest.cpp
@@ -29,12 +29,12 @@
 }
 
 std::vector<StartRun> planStarts(const JobStore& store, const std::vector<PlacementCandidate>& candidates,
-    Millis wallNow, const PlacementHints& hints = {}, const AdviceCheck& advice = {})
+    Millis wallNow, const PlacementHints& hints = {})
 {
     CandidateIndex index;
     for (const auto& candidate : candidates)
         index.set(candidate);
-    return planStarts(store, index, wallNow, hints, advice);
+    return planStarts(store, index, wallNow, hints);
 }
 
 std::map<std::string, int> startsByRunner(const std::vector<StartRun>& starts)
@@ -385,25 +385,3 @@
     REQUIRE(starts.size() == 1);
     REQUIRE(starts[0].run.task.job == "plain");
 }
-
-// Guards against starvation of a job with tickets because hundreds of jobs before it in its queue have none.
-TEST_CASE("Jobs that wait for advice don't hold up others of their queue", "[placement]")
-{
-    auto configuration = makeConfiguration();
-    configuration.queues.front().needsAdvice = true;
-    JobStore store;
-    store.apply(AcceptConfiguration { configuration }, {});
-    for (int i = 0; i < 300; ++i) {
-        store.apply(
-            SubmitJob { makeJob("waiting-" + std::to_string(i), { makeStep(1) }), { wall.count - 1000 } },
-            {});
-    }
-    store.apply(SubmitJob { makeJob("with-ticket", { makeStep(1) }), wall }, {});
-    AdviceCheck advice;
-    advice.hasTicket = [](const TaskName& step) { return step.job == JobId("with-ticket"); };
-    advice.isAdvised
-        = [](const TaskName& step, const std::string&) { return step.job == JobId("with-ticket"); };
-    auto starts = planStarts(store, { makeCandidate("r", 8000) }, wall, {}, advice);
-    REQUIRE(starts.size() == 1);
-    REQUIRE(starts[0].run.task.job == "with-ticket");
-}
