--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -120,7 +120,8 @@
         for (const auto* candidate : m_pool) {
             if (!spec.requiredLabel.empty() && !hasLabel(*candidate, spec.requiredLabel))
                 continue;
-            auto fitting = tasksThatFit(spec, *candidate, onRunner[candidate->incarnation.runner], waiting);
+            auto most = candidate->takesOneTask ? std::min<std::int64_t>(1, waiting) : waiting;
+            auto fitting = tasksThatFit(spec, *candidate, onRunner[candidate->incarnation.runner], most);
             if (spec.sameRack)
                 rackRoom[candidate->rack] += fitting;
             addOption(spec, step, *candidate, fitting);
--- a/src/jobs/TaskFit.cpp
+++ b/src/jobs/TaskFit.cpp
@@ -15,9 +15,8 @@
 std::int64_t tasksThatFit(
     const StepSpec& spec, PlacementCandidate candidate, std::int64_t tasksHere, std::int64_t maxCount)
 {
-    auto limit = candidate.takesOneTask ? std::min<std::int64_t>(1, maxCount) : maxCount;
     std::int64_t count = 0;
-    while (count < limit && checkDemand(spec, candidate, tasksHere + count) == WaitReason::HasRoom) {
+    while (count < maxCount && checkDemand(spec, candidate, tasksHere + count) == WaitReason::HasRoom) {
         candidate.free -= reservedBy(spec);
         ++count;
     }
