Show with tests that lasting tasks are stopped while others are away

Five tests show ways in which the leader ends a task at work too early: it doesn't know what earlier leaders told to stop, it trusts the first report of a runner whose lease may have run out, it decides while it lags, a stop goes out although another task became unavailable since, and a machine is ordered by a list that names the runner of before. The two lasting tasks of JobMasterSilenceTest move to a kit header, unchanged.

--- /dev/null
+++ b/test/JobMasterRecallTest.cpp
@@ -0,0 +1,65 @@
+#include "celeryline/jobs/JobMaster.h"
+
+#include "RecallKit.h"
+
+#include <catch2/catch.hpp>
+
+using namespace celeryline;
+using namespace celeryline::test;
+
+// Guards against two leaders that each stop as many tasks of a step as may be unavailable: a runner goes on
+// listing a task that it was told to stop, and the next leader took it for one that serves (rule AVAIL, issue
+// 37, grown Consorzio, review/5/day.toml --no-cpu --seed 1).
+TEST_CASE("A new leader counts the tasks that earlier leaders told to stop", "[master][known-red]")
+{
+    TwoLongRunning fixture;
+    fixture.reportAll(2);
+    fixture.reportAll(3);
+    REQUIRE(fixture.recall(0));
+    REQUIRE(fixture.report(0, 4, 100)->stops.size() == 1);
+    fixture.changeLeader();
+    fixture.reportAll(5);
+    fixture.reportAll(6);
+    REQUIRE_FALSE(fixture.recall(1));
+    REQUIRE(fixture.report(0, 7, 100)->stops.size() == 1); // The stop goes on under the new leader.
+}
+
+// Guards against a recall that relies on the report of a runner whose lease ran out while no leader answered:
+// the report was sent before, and its answer may come too late (rule AVAIL, issue 37).
+TEST_CASE("A new leader recalls only after runners got an answer from it", "[master][known-red]")
+{
+    TwoLongRunning fixture;
+    fixture.reportAll(2);
+    fixture.changeLeader();
+    fixture.reportAll(3);
+    REQUIRE_FALSE(fixture.recall(0));
+    fixture.reportAll(4);
+    REQUIRE(fixture.recall(0));
+}
+
+// Guards against recalls by a leader that handles reports late: what they list may have ended meanwhile (rule
+// AVAIL, issue 37).
+TEST_CASE("A leader that lags recalls nothing", "[master][known-red]")
+{
+    TwoLongRunning fixture;
+    fixture.reportAll(2);
+    fixture.reportAll(3);
+    fixture.kit.master.noteLag({ 300 });
+    REQUIRE_FALSE(fixture.recall(0));
+    fixture.kit.master.noteLag({ 10 });
+    REQUIRE(fixture.recall(0));
+}
+
+// Guards against a stop that goes out although another task of the step became unavailable after the recall
+// was decided (rule AVAIL, issue 37).
+TEST_CASE("A recalled task isn't stopped while another one is away", "[master][known-red]")
+{
+    TwoLongRunning fixture;
+    fixture.reportAll(2);
+    fixture.reportAll(3);
+    REQUIRE(fixture.recall(0));
+    fixture.report(1, 4, 0);
+    REQUIRE(fixture.report(0, 4, 100)->stops.empty());
+    fixture.report(1, 5, 100);
+    REQUIRE(fixture.report(0, 5, 100)->stops.size() == 1);
+}
--- a/test/JobMasterSilenceTest.cpp
+++ b/test/JobMasterSilenceTest.cpp
@@ -1,6 +1,6 @@
 #include "celeryline/jobs/JobMaster.h"
 
-#include "JobKit.h"
+#include "RecallKit.h"
 
 #include <catch2/catch.hpp>
 
@@ -10,37 +10,6 @@
 using namespace celeryline;
 using namespace celeryline::test;
 
-namespace {
-
-/// A job with two long-running tasks on two of three runners; one task may be unavailable.
-struct TwoLongRunning {
-    TwoLongRunning()
-    {
-        auto step = makeStep(2);
-        step.isLongRunning = true;
-        step.maxPerRunner = 1;
-        step.maxUnavailable = 1;
-        kit.submit(makeJob("a", { step }));
-        for (const auto* runner : { "x", "y", "z" })
-            kit.report(makeReport(runner, 1));
-        for (const auto& [incarnation, held] : kit.store.allocations())
-            runs.emplace_back(incarnation.runner, *held.runs.begin());
-    }
-
-    /// Sends a report of a run's runner; 100 percent means that the run serves.
-    std::optional<RunnerOrders> report(std::size_t run, std::uint64_t sequence, std::int64_t percent)
-    {
-        auto report = makeReport(runs[run].first, sequence);
-        report.running.push_back({ runs[run].second, "", percent, 0 });
-        return kit.report(report);
-    }
-
-    JobMasterFixture kit;
-    std::vector<std::pair<std::string, RunName>> runs; ///< Runs with their runners.
-};
-
-} // namespace
-
 // Guards against more unavailable tasks of a step than it permits.
 TEST_CASE("A long-running task is recalled only while the others serve", "[master]")
 {
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -222,3 +222,26 @@
     fixture.advanceTime(400);
     REQUIRE(fixture.provider.orders.size() == 1);
 }
+
+// Guards against an upkeep that ends tasks at work: the list of machines is up to a second old and may still
+// name the runner from before a move or an upkeep, on which nothing runs any more (rule AVAIL, KNOWN-RED 27,
+// issue 37).
+TEST_CASE(
+    "A machine whose new runner isn't on the list yet is drained before an order", "[machines][known-red]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m", "pool", "before");
+    fixture.advanceTime(3600);
+    auto found = makeReport("after", 1);
+    found.machine = "m";
+    fixture.report(found);
+    fixture.submit(makeJob("a", { makeStep(1) }));
+    found.sequence = 2;
+    auto start = fixture.report(found)->starts.at(0);
+    fixture.master.request(StartWave { 5, { "m" }, { 5000 }, 1, fixture.moment.wall }, [](RequestOutcome) {});
+    found.sequence = 3;
+    found.running.push_back({ start.run, "", 10, 0 });
+    fixture.report(found);
+    fixture.advanceTime(500);
+    REQUIRE(fixture.provider.orders.empty());
+}
