Let a leader that handles replies late keep its leadership, and see that it is late

A leader at its processor limit reads the replies of its voters after hundreds of requests and reports that came before. It took that wait for the silence of its voters and stepped down after 0.5 s; all that was under way came again to the next one. It also went on accepting jobs: its lag was the delay of timers, which run before the sockets that are ready.

The leader now waits for as long again as the replies of a majority have taken, twice the election timeout at most; its lease is unchanged. `overloaded` logs both delays.

Ruled out: lost links (the voters' logs name the leader until after it stepped down) and disks (probes in a scratch copy: replies within 10 to 45 ms, 183 ms right after a take-over). `fulfilled()` stands in LeaderClient.cpp because GCC 12 warns of an uninitialized string where it is inlined here.

--- a/include/celeryline/consensus/RaftCore.h
+++ b/include/celeryline/consensus/RaftCore.h
@@ -102,6 +102,11 @@
     /// acting as leader at this time. A time in the past if this isn't the leader.
     Millis leaseEnd() const;
 
+    /// @return how long the replies of a majority have taken lately, including their wait in this process's
+    /// input; at least the time since the leader should have heard from a majority. 0 if this replica isn't
+    /// the leader.
+    Millis replicationDelay() const;
+
     /// @return time of the next timeout that tick() handles: a leader's heartbeat or the start of an
     /// election. Empty on a replica that isn't a voter.
     std::optional<Millis> nextTimer() const;
@@ -210,6 +215,10 @@
     void trackPeer(const std::string& name);
     void continueTransfer();
     Millis quorumContactTime() const;
+    /// @return the time that the replies of a majority took, from the sending of the messages.
+    Millis replyDelay() const;
+    /// @return the time without contact to a majority after which the leader steps down.
+    Millis quorumTimeout() const;
     std::uint64_t quorumMatchIndex() const;
 
     // Status queries (RaftStatus.cpp)
--- a/include/celeryline/consensus/ReplicaState.h
+++ b/include/celeryline/consensus/ReplicaState.h
@@ -18,6 +18,7 @@
     bool isProbeInFlight = false;
     std::uint64_t sentCommitIndex = 0;
     Millis ackedSendTime { -1 }; ///< Send time of the newest message that the replica replied to.
+    Millis replyDelay; ///< Time from the sending of a message until its reply was handled, of the last reply.
     std::uint64_t snapshotIndex = 0; ///< Last entry of the snapshot that is being sent; 0 if there is none.
     std::uint64_t snapshotOffset = 0;
     bool isChunkInFlight = false;
--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -8,7 +8,7 @@
 #include "celeryline/control/DiskThread.h"
 #include "celeryline/control/ElectionLog.h"
 #include "celeryline/control/LeaderClient.h"
-#include "celeryline/control/LoopLag.h"
+#include "celeryline/control/ProcessLag.h"
 #include "celeryline/control/VoterLog.h"
 #include "celeryline/control/VoterSummary.h"
 #include "celeryline/jobs/JobMaster.h"
@@ -47,7 +47,7 @@
     Millis electionTimeout = controlElectionTimeout; ///< Minimum election timeout.
     /// Time from the start of a lost machine's successor until another machine may be lost.
     Millis lossInterval { 4000 };
-    Millis maxLag { 400 }; ///< Event loop lag at which the process stops accepting jobs.
+    ProcessLagLimits maxLag; ///< Lag at which the process stops accepting jobs.
     JobMasterOptions jobs;
 };
 
@@ -81,11 +81,11 @@
     /// @return false if one of its tasks fits on no machine, so that the job could never complete.
     bool couldHold(const JobSpec& job) const { return !m_machines || m_machines->couldEverFit(job); }
 
-    /// @return the recent lag of the event loop, which approximates how long incoming messages wait.
+    /// @return the recent lag of this process, which approximates how long incoming messages wait.
     Millis lag() const { return m_lag.recent(m_clock.now()); }
 
-    /// @return whether the event loop lag is so high that no further jobs should be accepted.
-    bool isOverloaded() const { return lag() >= m_options.maxLag; }
+    /// @return whether the lag is so high that no further jobs should be accepted.
+    bool isOverloaded() const { return m_lag.isOverloaded(m_clock.now()); }
 
     /// Adds RPC addresses of other control processes.
     void addSeeds(const std::vector<std::string>& addresses) { m_client.addAddresses(addresses); }
@@ -161,7 +161,7 @@
     std::string m_loggedLeader;
     VoterLog m_voterLog;
     ElectionLog m_electionLog;
-    LoopLag m_lag;
+    ProcessLag m_lag;
     bool m_isLeaving = false; ///< Set by resign().
     bool m_wasOverloaded = false; ///< Last logged state.
     bool m_wasStorageFailed = false; ///< Last logged state of the storage.
--- a/include/celeryline/control/LeaderClient.h
+++ b/include/celeryline/control/LeaderClient.h
@@ -111,4 +111,7 @@
     LeaderResponseTimer m_responseTimer;
 };
 
+/// @return a promise that is fulfilled with a response.
+kj::Promise<ForwardedResponse> fulfilled(ForwardedResponse response);
+
 } // namespace celeryline
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -33,7 +33,7 @@
     advanceTime(now);
     if (m_role == ConsensusRole::Leader) {
         // Check-quorum: a leader that lost contact with the majority must not keep callers waiting.
-        bool hasLostQuorum = m_now >= quorumContactTime() + m_options.electionTimeout;
+        bool hasLostQuorum = m_now >= quorumContactTime() + quorumTimeout();
         // A leader that gave up its lease for a transfer must step down, because the target may still be
         // elected.
         if (hasLostQuorum || (m_isTransferring && m_now >= m_transferDeadline)) {
--- a/src/consensus/RaftLeader.cpp
+++ b/src/consensus/RaftLeader.cpp
@@ -23,6 +23,37 @@
     return { times[m_log.configuration().majority() - 1] };
 }
 
+Millis RaftCore::replyDelay() const
+{
+    std::vector<std::int64_t> delays;
+    for (const auto& voter : m_log.configuration().voters) {
+        const auto* replica = findReplica(voter);
+        if (voter == m_options.self) {
+            delays.push_back(0);
+        } else if (replica != nullptr && replica->ackedSendTime > m_leadingSince && !isLost(voter)) {
+            delays.push_back(replica->replyDelay.count);
+        }
+    }
+    auto majority = m_log.configuration().majority();
+    if (m_role != ConsensusRole::Leader || delays.size() < majority)
+        return {};
+    std::sort(delays.begin(), delays.end());
+    return { delays[majority - 1] };
+}
+
+Millis RaftCore::replicationDelay() const
+{
+    if (m_role != ConsensusRole::Leader)
+        return {};
+    return std::max(replyDelay(), m_now - quorumContactTime() - m_options.heartbeat);
+}
+
+Millis RaftCore::quorumTimeout() const
+{
+    // The next replies may be in this process's own input already.
+    return m_options.electionTimeout + std::min(replyDelay(), m_options.electionTimeout);
+}
+
 Millis RaftCore::leaseEnd() const
 {
     if (m_role != ConsensusRole::Leader || m_isTransferring)
@@ -82,8 +113,9 @@
         replica.id = reply.from;
         replica.nextIndex = m_log.lastIndex() + 1;
     }
-    replica.ackedSendTime
-        = std::max(replica.ackedSendTime, Millis { static_cast<std::int64_t>(reply.sequence) });
+    Millis sentAt { static_cast<std::int64_t>(reply.sequence) };
+    replica.ackedSendTime = std::max(replica.ackedSendTime, sentAt);
+    replica.replyDelay = m_now - sentAt;
     replica.isProbeInFlight = false;
     return &replica;
 }
--- a/src/control/ControlNode.cpp
+++ b/src/control/ControlNode.cpp
@@ -32,6 +32,7 @@
     , m_links(timer, network)
     , m_client(m_links, {})
     , m_voterLog(m_options.electionTimeout)
+    , m_lag(m_options.maxLag)
     , m_tasks(*this)
     , m_server(timer, network, m_options.address, *this)
 {
@@ -84,7 +85,7 @@
     return promise.then([this, request = std::move(request), timeout](
                             ForwardedResponse&& response) mutable -> kj::Promise<ForwardedResponse> {
         if (response.outcome == ForwardOutcome::Answered)
-            return kj::mv(response);
+            return fulfilled(std::move(response));
         // All requests are idempotent, so this one can be sent to the next leader.
         bool mayHaveRun = response.outcome == ForwardOutcome::Unknown;
         return m_client.forward(std::move(request), timeout, timeout, mayHaveRun);
@@ -154,7 +155,7 @@
         ForwardedResponse response;
         response.outcome = ForwardOutcome::NotLeading;
         response.leader = leader() == m_options.address ? "" : leader();
-        return response;
+        return fulfilled(std::move(response));
     }
     return m_handler->handle(request);
 }
@@ -317,13 +318,16 @@
 
 void ControlNode::recordLag(Millis due)
 {
-    m_lag.record(due, m_clock.now());
+    auto now = m_clock.now();
+    auto replicationDelay = m_log.failure().empty() ? m_log.core().replicationDelay() : Millis {};
+    m_lag.record(now - due, replicationDelay, now);
     m_master.noteLag(lag());
     if (isOverloaded() == m_wasOverloaded)
         return;
     m_wasOverloaded = isOverloaded();
     Event(m_wasOverloaded ? "overloaded" : "not-overloaded")
-        .with("lagMs", lag())
+        .with("lagMs", m_lag.timerDelay(now))
+        .with("replicationDelayMs", m_lag.replicationDelay(now))
         .with("term", term())
         .with("isLeading", isLeading())
         .writeAlways();
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -129,4 +129,6 @@
     return m_links.timer().afterDelay(retryDelay).then([this, pending] { return sendToTarget(pending); });
 }
 
+kj::Promise<ForwardedResponse> fulfilled(ForwardedResponse response) { return kj::mv(response); }
+
 } // namespace celeryline
--- a/test/RaftCoreTest.cpp
+++ b/test/RaftCoreTest.cpp
@@ -4,6 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <utility>
+
 using namespace celeryline;
 using celeryline::test::RaftSimulation;
 
@@ -127,6 +130,48 @@
     CHECK(simulation.runUntil([&] { return simulation.isConverged(); }));
 }
 
+// Guards against a leader that takes its own lateness for the silence of its voters (issue 37): it handled
+// each reply late, gave up its leadership although the voters followed it, and so did its successors.
+TEST_CASE("A leader that handles all replies late keeps its leadership", "[consensus]")
+{
+    auto core = makeCore({ a, b, c });
+    electWithVotesOfB(core);
+    static constexpr std::int64_t start = 1000;
+    static constexpr std::int64_t maxReplyDelay = 250;
+    constexpr std::int64_t readInterval = 100;
+    auto handledAt
+        = [](std::int64_t sentAt) { return sentAt + std::min(maxReplyDelay, (sentAt - start) / 4); };
+    std::vector<RaftMessage> replies;
+    auto runUntil = [&](std::int64_t end, std::int64_t begin, bool isReading) {
+        for (auto now = begin; now < end; now += 10) {
+            core.tick({ now });
+            auto output = core.takeOutput();
+            core.persisted(output.persistId);
+            for (const auto& message : output.messages) {
+                if (message.kind != RaftMessageKind::Append || message.to != b)
+                    continue;
+                replies.push_back(makeMessage(RaftMessageKind::AppendReply, b, a, message.term));
+                replies.back().sequence = message.sequence;
+                replies.back().logIndex = message.logIndex + message.entries.size();
+            }
+            if (!isReading || now % readInterval != 0)
+                continue;
+            for (const auto& reply : std::exchange(replies, {})) {
+                if (handledAt(static_cast<std::int64_t>(reply.sequence)) <= now) {
+                    core.receive({ now }, reply);
+                } else {
+                    replies.push_back(reply);
+                }
+            }
+        }
+    };
+    runUntil(start + 3000, start, true);
+    REQUIRE(core.role() == ConsensusRole::Leader);
+    // Without replies it steps down all the same.
+    runUntil(start + 3600, start + 3000, false);
+    REQUIRE(core.role() != ConsensusRole::Leader);
+}
+
 // An instance that can send but doesn't receive the leader's messages must not disrupt the others, no matter
 // how long this lasts.
 TEST_CASE("An instance that does not hear the leader does not depose it", "[consensus]")
