Keep a connection on which something is received although calls time out

Responses that arrived after their call's timeout didn't count as a sign of life.

A connection is now closed after a timeout only if nothing at all was received on it for 0.5 s. "A peer that responds after each call's timeout keeps its connection" failed with the old ControlLink.cpp; the tests of silent connections pass unchanged.

--- a/include/celeryline/rpc/PackedStream.h
+++ b/include/celeryline/rpc/PackedStream.h
@@ -5,6 +5,8 @@
 #include <capnp/serialize-async.h>
 #include <kj/async-io.h>
 
+#include <functional>
+
 namespace celeryline::detail {
 
 /// Sends each message in packed encoding, prefixed with its length. Small messages consist mostly of zero
@@ -12,7 +14,9 @@
 class PackedStream final : public capnp::MessageStream {
 public:
     /// @param stream underlying connection; must outlive this object.
-    explicit PackedStream(kj::AsyncIoStream& stream);
+    /// @param onReceived called for each message that was received.
+    explicit PackedStream(
+        kj::AsyncIoStream& stream, std::function<void()> onReceived = [] {});
 
     kj::Promise<kj::Maybe<capnp::MessageReaderAndFds>> tryReadMessage(kj::ArrayPtr<kj::AutoCloseFd> fdSpace,
         capnp::ReaderOptions options, kj::ArrayPtr<capnp::word> scratchSpace) override;
@@ -25,6 +29,7 @@
 
 private:
     kj::AsyncIoStream& m_stream;
+    std::function<void()> m_onReceived;
 };
 
 } // namespace celeryline::detail
--- a/src/rpc/ControlLink.cpp
+++ b/src/rpc/ControlLink.cpp
@@ -18,10 +18,11 @@
 constexpr kj::Duration reconnectDelay = 100 * kj::MILLISECONDS;
 /// Limit of consensus messages queued while connecting; the oldest are kept, since an election needs them.
 constexpr std::size_t maxPendingRaft = 16;
-/// If a consensus message isn't acknowledged within this time, the connection is considered dead. Short
-/// enough that a sound voter is reached on a new connection before the leader counts it as lost.
+/// If a consensus message isn't acknowledged within this time and nothing else was received, the connection
+/// is considered dead. Short enough that a sound voter is reached on a new connection before the leader
+/// counts it as lost.
 constexpr kj::Duration raftTimeout = 500 * kj::MILLISECONDS;
-/// A call with a shorter timeout closes the connection only if messages went unanswered for this time.
+/// A call that times out closes the connection only if nothing was received for this time.
 constexpr kj::Duration maxSilence = 500 * kj::MILLISECONDS;
 /// Further messages are dropped, so that they don't accumulate for a slow receiver; consensus resends them.
 constexpr std::size_t maxRaftInFlight = 64;
@@ -42,7 +43,7 @@
 struct ControlLink::Connection {
     explicit Connection(kj::Own<kj::AsyncIoStream>&& opened)
         : stream(kj::mv(opened))
-        , packed(*stream)
+        , packed(*stream, [this] { onReceived(); })
         , network(packed, capnp::rpc::twoparty::Side::CLIENT)
         , rpcSystem(capnp::makeRpcClient(network))
     {
@@ -59,10 +60,11 @@
             unansweredSince = now;
     }
 
-    /// Records a response.
-    void onResponse() { unansweredSince = nullptr; }
+    /// Records that a message was received. Late responses count too: their calls may have timed out, but the
+    /// connection works.
+    void onReceived() { unansweredSince = nullptr; }
 
-    /// @return whether messages have been sent for maxSilence without a response.
+    /// @return whether messages have been sent for maxSilence while none was received.
     bool isSilent(kj::TimePoint now) const
     {
         KJ_IF_MAYBE (since, unansweredSince)
@@ -75,7 +77,8 @@
     capnp::TwoPartyVatNetwork network;
     capnp::RpcSystem<capnp::rpc::twoparty::VatId> rpcSystem;
     rpc::Control::Client control = nullptr;
-    kj::Maybe<kj::TimePoint> unansweredSince; ///< The first message since the last response; null if none.
+    kj::Maybe<kj::TimePoint>
+        unansweredSince; ///< The first message since the last one received; null if none.
     kj::Canceler calls;
 };
 
@@ -170,9 +173,7 @@
     });
     return m_timer.timeoutAfter(toKj(timeout), kj::mv(answered))
         .then(
-            [this, sent](Result&& result) {
-                if (m_connection && sent->connection == m_connectionNumber)
-                    m_connection->onResponse();
+            [](Result&& result) {
                 CallResult<Result> answer;
                 answer.hasResult = true;
                 answer.result = kj::mv(result);
@@ -191,9 +192,9 @@
 {
     if (!m_connection || sent.connection != m_connectionNumber)
         return;
-    auto now = m_timer.now();
-    // The time that was left for a call says nothing about the peer if it was short.
-    if (now - sent.at >= maxSilence || m_connection->isSilent(now))
+    // A peer that is late still responds. Closing its connection would lose all that is in flight, which
+    // would then be sent again and delay the peer further.
+    if (m_connection->isSilent(m_timer.now()))
         scheduleDisconnect("a call timed out");
 }
 
@@ -254,14 +255,13 @@
             if (number != m_connectionNumber)
                 return;
             --m_raftInFlight;
-            if (m_connection)
-                m_connection->onResponse();
         },
         [this, number](kj::Exception&& e) {
             if (number != m_connectionNumber)
                 return;
             --m_raftInFlight;
-            if (e.getType() == kj::Exception::Type::OVERLOADED)
+            bool isTimeout = e.getType() == kj::Exception::Type::OVERLOADED;
+            if (isTimeout && m_connection && m_connection->isSilent(m_timer.now()))
                 scheduleDisconnect("a consensus message was not acknowledged in time");
         }));
 }
--- a/src/rpc/PackedStream.cpp
+++ b/src/rpc/PackedStream.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cstdint>
+#include <utility>
 
 namespace celeryline::detail {
 
@@ -38,8 +39,9 @@
 
 } // namespace
 
-PackedStream::PackedStream(kj::AsyncIoStream& stream)
+PackedStream::PackedStream(kj::AsyncIoStream& stream, std::function<void()> onReceived)
     : m_stream(stream)
+    , m_onReceived(std::move(onReceived))
 {
 }
 
@@ -59,12 +61,14 @@
         }
         auto bytes = kj::heapArray<kj::byte>(size);
         auto bytesRead = m_stream.read(bytes.begin(), size);
-        return bytesRead.then([options, bytes = kj::mv(bytes)]() mutable -> kj::Maybe<MessageReaderAndFds> {
-            auto input = kj::heap<kj::ArrayInputStream>(bytes);
-            auto reader = kj::heap<capnp::PackedMessageReader>(*input, options);
-            kj::Own<capnp::MessageReader> owner = reader.attach(kj::mv(input), kj::mv(bytes));
-            return MessageReaderAndFds { kj::mv(owner), nullptr };
-        });
+        return bytesRead.then(
+            [this, options, bytes = kj::mv(bytes)]() mutable -> kj::Maybe<MessageReaderAndFds> {
+                m_onReceived();
+                auto input = kj::heap<kj::ArrayInputStream>(bytes);
+                auto reader = kj::heap<capnp::PackedMessageReader>(*input, options);
+                kj::Own<capnp::MessageReader> owner = reader.attach(kj::mv(input), kj::mv(bytes));
+                return MessageReaderAndFds { kj::mv(owner), nullptr };
+            });
     });
 }
 
--- a/test/ControlLinkTest.cpp
+++ b/test/ControlLinkTest.cpp
@@ -236,6 +236,27 @@
     CHECK(f.relay->connections() == 1);
 }
 
+// Guards against a connection that is closed although its peer works and is only late: all that was in flight
+// came again, and the peer was even later (issue 37).
+TEST_CASE("A peer that responds after each call's timeout keeps its connection", "[rpc]")
+{
+    constexpr Millis responseTime { 450 };
+    static constexpr Millis callTimeout { 400 };
+    constexpr Millis duration { 2000 };
+    const LinkUser impatient { "request", callTimeout,
+        [](ControlLink& link) { return link.forward({}, callTimeout).ignoreResult(); } };
+    LinkFixture f;
+    f.startRelayedServer();
+    f.control.answerForwarded = [&f] {
+        return f.timer().afterDelay(responseTime.count * kj::MILLISECONDS).then([] {
+            return ForwardedResponse {};
+        });
+    };
+    const auto end = f.now() + duration;
+    f.sendUntil(impatient, [&] { return f.now() >= end; });
+    CHECK(f.relay->connections() == 1);
+}
+
 // Guards against a dead connection that is kept because each call on it has a short timeout.
 TEST_CASE("Calls with short timeouts give up a silent connection together", "[rpc]")
 {
