Check machines that are being emptied every 50 ms, not in each round

That work grows with the wave and takes no request further.

The checks run every 50 ms now; drains, orders and their repetition take seconds or 700 ms.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -34,6 +34,9 @@
     /// The provider counts as unavailable after this time without an answer; machines then keep their tasks.
     Millis providerTimeout { 3000 };
     Millis planInterval { 200 };
+    /// Interval of the checks of machines that are being emptied or ordered. Each check adds up what the
+    /// machines hold, so its cost grows with their number.
+    Millis advanceInterval { 50 };
     Millis minPoolStay { 3000 }; ///< Minimum time that a machine stays in a pool after a move.
     PoolPlanOptions poolPlan;
 };
@@ -149,6 +152,7 @@
     std::map<std::string, Millis> m_maybeDownUntil;
     Millis m_nextListAt;
     Millis m_nextPlanAt;
+    Millis m_nextAdvanceAt;
     Millis m_nextBalanceLogAt;
     bool m_isListing = false;
     Millis m_listRequestedAt;
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -73,6 +73,7 @@
     m_operations.clear();
     m_listedAt.reset();
     m_absentSince.clear();
+    m_nextAdvanceAt = {};
     m_refusedUntil.clear();
     m_pausedUntil.clear();
     restoreEarlierOrders();
@@ -99,7 +100,10 @@
         if (!m_machines.empty())
             plan();
     }
-    advanceOperations();
+    if (now >= m_nextAdvanceAt) {
+        m_nextAdvanceAt = now + m_options.advanceInterval;
+        advanceOperations();
+    }
 }
 
 void MachineMaster::onCommitted(const JobCommand& command)
