--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,60 +1,92 @@
-"""A heartbeat of another writer names a service that isn't in the configuration, under the id of a running runner."""
+"""A paused control machine passes on the goodbye of a runner's ended life, whose next life under the same id is at work."""
 import os
+import signal
 import sys
 import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "6"))
-from standins import CONTROL_PORT, ZONES, call, config, route, run_case, Runner  # noqa: E402
+from standins import BOUNDS, CONTROL_PORT, CannotRun, call, config, route, run_case, Runner  # noqa: E402
 
-JOBS = [f"{i:016x}" for i in range(0xf0, 0xf4)]
-WORK = 8.0  # Seconds that a task works.
-TASKS = 3
+ENTRIES = 7  # With three machines for control, the paused one is a share of 0.1.
+RUNNERS, RESTARTED = 16, 8
+CPU = 2000  # One task fills a runner.
+FREEZE = 3.6  # Seconds.
+LATE = 0.8  # Seconds that each heartbeat of the restarted runners is on its way; its answer comes in time.
+WORK = 8.0  # Seconds.
 
 
-def foreign_heartbeat():
-    return {"service": "not-named-here", "addr": "127.0.0.1:8080", "zone": ZONES[0], "version": "v0", "slots": 8,
-            "state": "ready", "cold_left_ms": 0, "capacity": {"cpu": 32000, "mem_mb": 131072, "gpu": 0},
-            "labels": ["a", "r1-1"], "born": int(time.time() * 1000), "wall_clock_ms": int(time.time() * 1000), "seq": 1,
-            "running": [], "ended": []}
+class LateRunner(Runner):
+    """A runner whose heartbeats arrive late, and which says goodbye before it ends."""
+    is_draining = False
+    late = 0.0
+
+    def call_control(self, target, body):
+        body["state"] = "draining" if self.is_draining else "ready"
+        time.sleep(self.late)
+        return super().call_control(target, body)
+
+    def leave(self, controls):
+        """Ends this life in order: draining, the time for it, then DELETE at one control machine after the other."""
+        self.is_draining = True
+        time.sleep(BOUNDS["drain_ms"] / 1000 + 2.5)
+        for machine in controls:
+            status, _ = call("DELETE", machine.address(CONTROL_PORT), f"/instances/{self.name}")
+            self.record.write(self.name, f"DELETE /instances/{self.name} to {machine.name} <- {status or 'no answer'}")
+            if status == 200:
+                break
+        self.is_up = False
 
 
 def case(record, deployment, has_trouble):
-    broken = []
+    broken, lives = [], {}
     lock = threading.Lock()
-    runners = []
 
     def on_start(task, run):
         with lock:
-            holders = [(runner.name, runner.running[task][0]) for runner in runners
+            holders = [(runner.name, runner.running[task][0]) for runner in lives.values()
                        if runner.is_up and task in runner.running and runner.running[task][0] != run]
         for name, other in holders:
             broken.append(f"TWICE: run {run} of {task} has begun while run {other} of it is at work on {name}")
 
-    deployment.start(config(1, [route("/grants/", "runners")], ["runners"]))
-    runners += [Runner(deployment, f"runner-{i}", "runners", lambda task, run: (WORK, "done"), on_start=on_start)
-                for i in range(4)]
-    for runner in runners:
+    def new_life(i):
+        runner = LateRunner(deployment, f"runner-{i}", "runners", lambda task, run: (WORK, "done"), cpu=CPU,
+                            on_start=on_start)
+        runner.late = LATE if i < RESTARTED else 0.0
+        with lock:
+            lives[i] = runner
         runner.start()
-    time.sleep(2.0)
-    steps = [{"count": TASKS, "cpu": 2000, "mem_mb": 64, "estimate_ms": int(WORK * 1000)}]
-    for i, job in enumerate(JOBS):
-        status, _ = deployment.client("POST", f"/grants/{job}", {"spec": "work", "steps": steps}, entry=i % 2)
-        assert status == 200, status
-    time.sleep(2.0)
-    busy = max(runners, key=lambda runner: len(runner.running))
-    record.write("case", f"{busy.name} works on {sorted(busy.running)}")
+
+    deployment.start(config(1, [route("/grants/", "runners")], ["runners"]))
+    leader = deployment.leader()
+    paused = next((machine for machine in deployment.controls if machine is not leader), None)
+    if leader is None:
+        raise CannotRun("no process leads")
+    for i in range(RESTARTED):
+        new_life(i)
+    time.sleep(3.0)
+    order = [paused] + [machine for machine in deployment.controls if machine is not paused]
+    leaving = [threading.Thread(target=lives[i].leave, args=(order,)) for i in range(RESTARTED)]
+    for thread in leaving:
+        thread.start()
+    time.sleep(BOUNDS["drain_ms"] / 1000 + 2.3)
     if has_trouble:
-        body = foreign_heartbeat()
-        machine = deployment.controls[0]
-        status, _ = call("PUT", machine.address(CONTROL_PORT), f"/instances/{busy.name}", body)
-        record.write("other writer", f"PUT /instances/{busy.name} to {machine.name}, service {body['service']}, born "
-                     f"{body['born']} -> {status}")
-    time.sleep(WORK + 10.0)
-    for i, job in enumerate(JOBS):
-        deployment.client("GET", f"/grants/{job}", entry=i % 2)
+        paused.signal(signal.SIGSTOP)
+        threading.Timer(FREEZE, paused.signal, [signal.SIGCONT]).start()
+    frozen_at = record.now()
+    for thread in leaving:
+        thread.join()
+    for i in range(RUNNERS):
+        new_life(i)
+    time.sleep(1.2)
+    steps = [{"count": 6, "cpu": CPU, "mem_mb": 64, "estimate_ms": int(1000 * WORK)}]
+    for i in range(2):
+        status, _ = deployment.client("POST", f"/grants/{0xaa0 + i:016x}", {"spec": "work", "steps": steps}, entry=i)
+        if status != 200:
+            raise CannotRun("a job was not accepted")
+    time.sleep(max(0.0, frozen_at + FREEZE - record.now()) + WORK)
     return broken
 
 
-run_case(case, FOLDER)
+run_case(case, FOLDER, ENTRIES)
