Review: case 7 no longer hangs on chance

The records show why it held: the only idle runners were those with late heartbeats, which got the second starts too late, and idle runners lost answers and then called the frozen machine.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,20 +12,24 @@
 ENTRIES = 7  # With three machines for control, the paused one is a share of 0.1.
 RUNNERS, RESTARTED = 16, 8
 CPU = 2000  # One task fills a runner.
-FREEZE = 3.6  # Seconds.
-LATE = 0.8  # Seconds that each heartbeat of the restarted runners is on its way; its answer comes in time.
+FREEZE, LONGEST_FREEZE = 3.4, 4.8  # Seconds.
+FRESH, ENOUGH = 0.4, 2  # The machine wakes when so many runners at work had an answer in the last so many seconds.
+LATE = 0.8  # Seconds that each heartbeat of a restarted runner at work is on its way; its answer comes in time.
 WORK = 8.0  # Seconds.
 
 
 class LateRunner(Runner):
-    """A runner whose heartbeats arrive late, and which says goodbye before it ends."""
+    """A runner whose heartbeats arrive late while it is at work, and which says goodbye before it ends."""
     is_draining = False
     late = 0.0
+    answered_at = 0.0
 
     def call_control(self, target, body):
         body["state"] = "draining" if self.is_draining else "ready"
-        time.sleep(self.late)
-        return super().call_control(target, body)
+        time.sleep(self.late if self.running else 0.0)
+        answer = super().call_control(target, body)
+        self.answered_at = self.record.now()
+        return answer
 
     def leave(self, controls):
         """Ends this life in order: draining, the time for it, then DELETE at one control machine after the other."""
@@ -58,6 +62,19 @@
             lives[i] = runner
         runner.start()
 
+    def wake(frozen_at):
+        """Ends the freeze, shortly after answers to runners at work, so that their next heartbeats are far off."""
+        while record.now() < frozen_at + LONGEST_FREEZE:
+            now = record.now()
+            with lock:
+                fresh = [i for i, runner in lives.items()
+                         if i < RESTARTED and runner.running and now - runner.answered_at < FRESH]
+            if now >= frozen_at + FREEZE and len(fresh) >= ENOUGH:
+                break
+            time.sleep(0.02)
+        paused.signal(signal.SIGCONT)
+        record.write("case", f"{paused.name} was frozen for {record.now() - frozen_at:.1f} s")
+
     deployment.start(config(1, [route("/grants/", "runners")], ["runners"]))
     leader = deployment.leader()
     paused = next((machine for machine in deployment.controls if machine is not leader), None)
@@ -71,21 +88,24 @@
     for thread in leaving:
         thread.start()
     time.sleep(BOUNDS["drain_ms"] / 1000 + 2.3)
+    frozen_at = record.now()
     if has_trouble:
         paused.signal(signal.SIGSTOP)
-        threading.Timer(FREEZE, paused.signal, [signal.SIGCONT]).start()
-    frozen_at = record.now()
+        threading.Thread(target=wake, args=(frozen_at,), daemon=True).start()
     for thread in leaving:
         thread.join()
-    for i in range(RUNNERS):
+    for i in range(RESTARTED):
         new_life(i)
-    time.sleep(1.2)
-    steps = [{"count": 6, "cpu": CPU, "mem_mb": 64, "estimate_ms": int(1000 * WORK)}]
+    time.sleep(1.0)
+    steps = [{"count": RESTARTED // 2, "cpu": CPU, "mem_mb": 64, "estimate_ms": int(1000 * WORK)}]
     for i in range(2):
         status, _ = deployment.client("POST", f"/grants/{0xaa0 + i:016x}", {"spec": "work", "steps": steps}, entry=i)
         if status != 200:
             raise CannotRun("a job was not accepted")
-    time.sleep(max(0.0, frozen_at + FREEZE - record.now()) + WORK)
+    time.sleep(0.5)
+    for i in range(RESTARTED, RUNNERS):
+        new_life(i)
+    time.sleep(max(0.0, frozen_at + LONGEST_FREEZE - record.now()) + WORK)
     return broken
 
 
