A deregistration ends no lease

Cause: DELETE /instances/ID names a runner's id and no life. RunnerTable::markLeft() cut the lease of the life that reports then to 1 s.

Change: a deregistration changes no lease. It keeps new tasks from the runner until its second report after that (one may have been in flight), in place of 5 s, so a sound next life is used again at once. Its tickets stay unless it is draining, and its machine keeps it in use. The answer to a machine order ends no runs by id either: the machine was drained before the order, so it could only end those of a next life. Nothing that names no life ends a run now, whichever process holds it up and whoever leads.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -133,7 +133,8 @@
     /// @param done called with the orders, or with nothing if this instance isn't the leader.
     void report(RunnerReport report, OrdersCallback done);
 
-    /// Records that a runner has shut down in an orderly way.
+    /// Records that a runner is said to have shut down. It gets no tasks until its reports show otherwise;
+    /// its runs end by its reports or its lease.
     /// @param runner its id.
     void leave(const std::string& runner);
 
@@ -161,9 +162,10 @@
     /// @return whether no other eligible runner has capacity for it.
     bool lacksCapacityElsewhere(const RunName& run) const;
 
-    /// Ends all runs of a runner whose machine is gone.
+    /// Records that a runner's machine was taken down. Ends no runs: the machine was drained before, and the
+    /// answer to the order may arrive after the runner's next incarnation has begun to work.
     /// @param runner id of the runner.
-    void endRunner(const std::string& runner);
+    void noteMachineDown(const std::string& runner);
 
     /// @return the oldest waiting job of each pool as of the last check, which runs every second. Meaningless
     /// while this instance isn't the leader.
--- a/include/celeryline/jobs/RunnerTable.h
+++ b/include/celeryline/jobs/RunnerTable.h
@@ -19,8 +19,10 @@
     /// Steady time by which all its runs have certainly stopped, unless it reports before.
     Millis leaseExpiry;
     std::uint64_t acknowledgedEnds = 0;
-    bool hasLeft = false; ///< It has shut down, or its machine was taken down.
+    /// It is said to have shut down, and no later report shows that it is still up. It gets no tasks.
+    bool hasLeft = false;
     Millis leftAt; ///< Steady time of that; only valid if hasLeft.
+    std::uint64_t reportsWhenLeft = 0; ///< Value of reports at that time.
     std::map<RunName, RunProgress> progress; ///< Progress of the runs in the most recent report.
     std::int64_t bestEffortRate = 100; ///< Rate limit of its best-effort tasks, in percent.
 };
@@ -43,7 +45,8 @@
     /// @return the runner's state; null if the report is outdated and must be ignored.
     RunnerState* accept(RunnerReport report, Millis lease, Millis now);
 
-    /// Records that a runner has shut down in an orderly way.
+    /// Records that a runner is said to have shut down. A deregistration names no incarnation, may be delayed
+    /// beyond the start of the next one, and may be sent before the runs end. It therefore changes no lease.
     /// @param runner its id.
     void markLeft(const std::string& runner, Millis now);
 
@@ -62,8 +65,8 @@
     const std::map<std::string, RunnerState>& runners() const { return m_runners; }
 
     /// @param machine name of a machine.
-    /// @return the newest runner that has reported from this machine in this term; null if it has left or
-    /// none is known.
+    /// @return the newest runner that has reported from this machine in this term, also if it has left, as
+    /// its runs may go on; null if none is known.
     const RunnerState* findOnMachine(const std::string& machine) const;
 
     /// Removes runners that have not reported for a long time.
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -200,9 +200,23 @@
 
 void JobMaster::leave(const std::string& runner)
 {
-    Event("runner-left").with("runner", runner).write();
-    m_runners.markLeft(runner, m_clock().steady);
-    m_adviceCache.removeRunner(runner);
+    auto now = m_clock().steady;
+    Event event("runner-left");
+    event.with("runner", runner);
+    auto found = m_runners.runners().find(runner);
+    if (found != m_runners.runners().end()) {
+        const auto& state = found->second;
+        const auto* allocation = m_store.findAllocation(state.report.incarnation);
+        event.with("born", state.report.incarnation.startTime)
+            .with("isDraining", state.report.isDraining)
+            .with("runs", allocation == nullptr ? 0 : allocation->runs.size())
+            .with("leaseLeftMs", state.leaseExpiry - now);
+        // Otherwise the request may be a delayed one of an earlier incarnation.
+        if (state.report.isDraining)
+            m_adviceCache.removeRunner(runner);
+    }
+    event.write();
+    m_runners.markLeft(runner, now);
     m_changedRunners.insert(runner);
 }
 
@@ -284,18 +298,10 @@
         [&](const TaskRun& known) { return known.number == run.run && known.incarnation == incarnation; });
 }
 
-void JobMaster::endRunner(const std::string& runner)
+void JobMaster::noteMachineDown(const std::string& runner)
 {
     m_runners.markLeft(runner, m_clock().steady);
-    std::vector<JobCommand> commands;
-    const auto& all = m_store.allocations();
-    for (auto it = all.lower_bound({ runner, {} }); it != all.end() && it->first.runner == runner; ++it) {
-        for (const auto& run : it->second.runs)
-            commands.push_back(EndRun { run, RunOutcome::Lost, "" });
-    }
     m_changedRunners.insert(runner);
-    if (!commands.empty())
-        m_log.propose(commands, [this](bool) { m_mustPlan = true; });
 }
 
 void JobMaster::openDueOccurrences()
--- a/src/jobs/RunnerTable.cpp
+++ b/src/jobs/RunnerTable.cpp
@@ -10,9 +10,9 @@
 constexpr std::int64_t clockDriftPercent = 2;
 /// Allowance for rounding to milliseconds and for the time between two clock readings.
 constexpr Millis leaseSafetyMargin { 100 };
-/// Time after which a runner that announced its shutdown has certainly stopped its runs.
-constexpr Millis departureGrace { 1000 };
-/// Reports that a runner sent before it left or lost its lease arrive within this time.
+/// A runner waits for the answer to a report before it sends the next one.
+constexpr std::uint64_t maxReportsInFlight = 1;
+/// Reports that a runner sent before it lost its lease arrive within this time.
 constexpr Millis maxReportDelay { 5000 };
 /// Time without a report after which a runner is removed; ids are rarely reused.
 constexpr Millis silentRunnerRetention { 60000 };
@@ -66,7 +66,7 @@
     state.lease = lease;
     // A shorter lease doesn't revoke a longer one granted before.
     state.leaseExpiry = std::max(state.leaseExpiry, now + worstCaseDuration(lease));
-    if (now >= state.leftAt + maxReportDelay)
+    if (state.reports > state.reportsWhenLeft + maxReportsInFlight)
         state.hasLeft = false;
     return &state;
 }
@@ -83,8 +83,7 @@
 const RunnerState* RunnerTable::findOnMachine(const std::string& machine) const
 {
     auto newest = m_newestOnMachine.find(machine);
-    const auto* state = newest == m_newestOnMachine.end() ? nullptr : find(newest->second);
-    return state == nullptr || state->hasLeft ? nullptr : state;
+    return newest == m_newestOnMachine.end() ? nullptr : find(newest->second);
 }
 
 void RunnerTable::markLeft(const std::string& runner, Millis now)
@@ -92,9 +91,10 @@
     auto found = m_runners.find(runner);
     if (found == m_runners.end())
         return;
-    found->second.hasLeft = true;
-    found->second.leftAt = now;
-    found->second.leaseExpiry = std::min(found->second.leaseExpiry, now + departureGrace);
+    auto& state = found->second;
+    state.hasLeft = true;
+    state.leftAt = now;
+    state.reportsWhenLeft = state.reports;
 }
 
 Millis RunnerTable::leaseExpiry(const RunnerIncarnation& incarnation) const
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -280,7 +280,7 @@
     operation.since = m_clock().steady;
     if (known == m_machines.end())
         return;
-    m_jobs.endRunner(known->second.info.runner);
+    m_jobs.noteMachineDown(known->second.info.runner);
     known->second.info.runner.clear(); // The next list has the new one.
     known->second.info.state = operation.wave != 0 ? MachineState::Upkeep : MachineState::Moving;
     if (operation.wave == 0) {
--- a/test/RunnerTableTest.cpp
+++ b/test/RunnerTableTest.cpp
@@ -67,3 +67,13 @@
     REQUIRE(table.leaseExpiry({ "r", { 9 } }) == Millis { 1000 });
     REQUIRE(table.leaseExpiry({ "r", { 11 } }) == Millis { 500 + 4180 });
 }
+
+// Guards against a lease that ends by a deregistration: it names no incarnation, and the runs may go on.
+TEST_CASE("A deregistration changes no lease", "[runners]")
+{
+    RunnerTable table(lease);
+    table.reset({ 0 });
+    table.accept(makeReport("r", 1), lease, { 1000 });
+    table.markLeft("r", { 1100 });
+    REQUIRE(table.leaseExpiry({ "r", { 1 } }) == Millis { 1000 + 4180 });
+}
