Recall long-running tasks from runners that drain

Cause: nothing moved them while the runner drained for 2 s or more; they were at work until it ended, and only its lease shows that it did.

Change: each report of a draining runner recalls its long-running runs, with the limits of any recall (the step's unavailable tasks, room elsewhere, lag), and a draining runner with room reports every 250 ms like any other one, so that its stops and ends go through before it leaves.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -216,6 +216,8 @@
     /// @return whether the step's limit on unavailable tasks permits that a task becomes unavailable.
     bool maySpare(const TaskName& task) const;
     bool mayRecall(const RunName& run) const;
+    /// Recalls the long-running runs of a runner that is shutting down, as far as their steps permit.
+    void recallFrom(const std::string& runner);
     bool mustStop(const ReportedRun& reported, const RunnerIncarnation& incarnation) const;
     void askForAdvice();
     void noteAdviceHealth(bool hasAnswered, bool isQuick);
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -138,6 +138,8 @@
         return;
     }
     m_changedRunners.insert(state->report.incarnation.runner);
+    if (state->report.isDraining)
+        recallFrom(state->report.incarnation.runner);
     auto pending = std::make_shared<PendingReport>();
     pending->incarnation = state->report.incarnation;
     pending->sequence = state->report.sequence;
@@ -245,7 +247,7 @@
     addStops(report, orders);
     throttleBestEffort(report, orders);
     auto reserved = reservedOn(report.incarnation);
-    bool hasCapacity = !report.isDraining && reserved.cpuMilli < report.capacity.cpuMilli;
+    bool hasCapacity = reserved.cpuMilli < report.capacity.cpuMilli;
     orders.nextReport = hasCapacity ? m_options.reportIntervalWithCapacity : m_options.reportIntervalWhenFull;
     if (pending.answerDeadline > Millis {} && orders.starts.empty())
         orders.nextReport = m_options.reportDelayAfterWait;
--- a/src/jobs/JobMasterRunners.cpp
+++ b/src/jobs/JobMasterRunners.cpp
@@ -122,6 +122,12 @@
     return true;
 }
 
+void JobMaster::recallFrom(const std::string& runner)
+{
+    for (const auto& run : useOf(runner).longRunning)
+        recall(run);
+}
+
 ServingLatency JobMaster::servingLatencyOf(const RunnerReport& report) const
 {
     ServingLatency tail;
--- a/test/JobMasterRecallTest.cpp
+++ b/test/JobMasterRecallTest.cpp
@@ -63,3 +63,33 @@
     fixture.report(1, 5, 100);
     REQUIRE(fixture.report(0, 5, 100)->stops.size() == 1);
 }
+
+// Guards against long-running tasks that wait for the lease of a runner that has left: a deregistration ends
+// no lease, so they must have moved before.
+TEST_CASE("A draining runner's long-running tasks are recalled as far as their step permits", "[master]")
+{
+    TwoLongRunning fixture;
+    fixture.reportAll(2);
+    fixture.report(0, 3, 100, true);
+    REQUIRE(fixture.report(0, 4, 100, true)->stops.size() == 1);
+    fixture.report(1, 3, 100, true);
+    REQUIRE(fixture.report(1, 4, 100, true)->stops.empty()); // The first task isn't at work elsewhere yet.
+}
+
+// Guards against a stop of a long-running task that no other runner has capacity for.
+TEST_CASE("A draining runner keeps tasks for which there is no place elsewhere", "[master]")
+{
+    JobMasterFixture kit;
+    auto step = makeStep(1);
+    step.isLongRunning = true;
+    kit.submit(makeJob("a", { step }));
+    kit.report(makeReport("r", 1));
+    kit.master.plan();
+    auto start = kit.report(makeReport("r", 2))->starts.at(0);
+    for (std::uint64_t sequence = 3; sequence < 6; ++sequence) {
+        auto report = makeReport("r", sequence);
+        report.running.push_back(running(start));
+        report.isDraining = true;
+        REQUIRE(kit.report(report)->stops.empty());
+    }
+}
--- a/test/RecallKit.h
+++ b/test/RecallKit.h
@@ -27,9 +27,11 @@
     }
 
     /// Sends a report of a run's runner; 100 percent means that the run serves.
-    std::optional<RunnerOrders> report(std::size_t run, std::uint64_t sequence, std::int64_t percent)
+    std::optional<RunnerOrders> report(
+        std::size_t run, std::uint64_t sequence, std::int64_t percent, bool isDraining = false)
     {
         auto report = makeReport(runs[run].first, sequence);
+        report.isDraining = isDraining;
         report.running.push_back({ runs[run].second, "", percent, 0 });
         return kit.report(report);
     }
