Ignore reports of services that are not configured

Cause: the same question as for deregistrations, which evidence ends a run and whose it is. A report with a newer start time counts as the runner's next life and ends the runs of the one before; its service was not checked, although a report whose service isn't named comes from another writer and names no runner.

Change: such a report gets an answer without a lease and orders, and changes nothing. The check is in the core, as the configuration is there, so it also holds for the first report that a new leader hears. A life that is known under that service is still accepted, so that removing a service from the configuration doesn't end what runs.

Test that failed before: build/celeryline-test "A report of an unknown service ends no runs*". "A runner is empty while starts on other runners are being committed" now configures the second pool that it uses; its checks are unchanged.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -185,6 +185,9 @@
         Millis answerDeadline {}; ///< Steady time; set for the report of an idle runner.
     };
 
+    /// @return false if a report names a service that no configuration has. Such a report comes from another
+    /// writer: it describes no runner, and must not end the work of the runner whose id it has.
+    bool namesKnownService(const RunnerReport& report) const;
     std::vector<JobCommand> endsOf(const RunnerReport& report) const;
     void commitEnds(const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending);
     Resources reservedOn(const RunnerIncarnation& incarnation) const;
--- a/include/celeryline/jobs/QueueSettings.h
+++ b/include/celeryline/jobs/QueueSettings.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/base/Millis.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -53,6 +54,15 @@
     std::string document; ///< The operator's original document, returned to readers unchanged.
 };
 
+/// @param configuration a configuration.
+/// @param service name of a service.
+/// @return whether the configuration has a pool of this service.
+inline bool hasPool(const QueueConfiguration& configuration, const std::string& service)
+{
+    return std::any_of(configuration.pools.begin(), configuration.pools.end(),
+        [&](const PoolSettings& pool) { return pool.service == service; });
+}
+
 /// @param configuration a configuration.
 /// @param key key of a queue.
 /// @return the queue, or null if no queue has this key.
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -119,6 +119,16 @@
         done(std::nullopt);
         return;
     }
+    if (!namesKnownService(report)) {
+        Event("report-ignored")
+            .with("runner", report.incarnation.runner)
+            .with("born", report.incarnation.startTime)
+            .with("service", report.service)
+            .with("reason", "unknown service")
+            .write();
+        done(RunnerOrders {});
+        return;
+    }
     bool isNew = m_runners.find(report.incarnation) == nullptr;
     auto lease = isLagging() ? m_options.runLeaseWhenLagging : m_options.runLease;
     const auto* state = m_runners.accept(std::move(report), lease, m_clock().steady);
@@ -154,6 +164,16 @@
     commitEnds(commands, pending);
 }
 
+bool JobMaster::namesKnownService(const RunnerReport& report) const
+{
+    const auto& configuration = m_store.configuration();
+    if (configuration.version == 0 || hasPool(configuration, report.service))
+        return true;
+    // The service of a runner at work may have been removed.
+    const auto* known = m_runners.find(report.incarnation);
+    return known != nullptr && known->report.service == report.service;
+}
+
 void JobMaster::commitEnds(
     const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending)
 {
--- a/test/JobMasterDepartureTest.cpp
+++ b/test/JobMasterDepartureTest.cpp
@@ -1,5 +1,5 @@
-// What a deregistration may end. It names a runner's id but no incarnation, and may be delayed for seconds by
-// a process that stands still.
+// What may end a runner's runs. A deregistration names a runner's id but no incarnation, and may be delayed
+// for seconds by a process that stands still; a report may come from another writer.
 #include "celeryline/jobs/JobMaster.h"
 
 #include "JobKit.h"
@@ -159,3 +159,32 @@
     REQUIRE(found != nullptr);
     REQUIRE(found->report.incarnation.runner == "r");
 }
+
+// Guards against a second run of each task of a runner: a report of another writer under its id, with a
+// service that no configuration names, counted as its next incarnation and ended its runs (review/6).
+TEST_CASE("A report of an unknown service ends no runs, also if it reaches a new leader first",
+    "[master][departure]")
+{
+    RunnerAtWork runner(10);
+    auto foreign = makeReport("r", 1, 20);
+    foreign.service = "not configured";
+    REQUIRE(runner.kit.report(foreign)->lease == Millis {});
+    REQUIRE_FALSE(runner.startsElsewhere({ 1800 }));
+    REQUIRE(runner.reportAtWork()->lease > Millis {});
+
+    runner.kit.master.startTerm();
+    runner.kit.report(foreign);
+    REQUIRE(runner.reportAtWork()->lease > Millis {});
+    REQUIRE_FALSE(runner.startsElsewhere({ 1800 }));
+    REQUIRE(runner.kit.store.isActive(runner.start.run));
+}
+
+// Guards against work that is given up because its service is removed from the configuration.
+TEST_CASE("A runner at work keeps its lease when its service is removed", "[master][departure]")
+{
+    RunnerAtWork runner(10);
+    auto configuration = makeConfiguration(2);
+    configuration.pools.clear();
+    runner.kit.store.apply(AcceptConfiguration { configuration }, {});
+    REQUIRE(runner.reportAtWork()->lease > Millis {});
+}
--- a/test/JobMasterTest.cpp
+++ b/test/JobMasterTest.cpp
@@ -279,6 +279,9 @@
 TEST_CASE("A runner is empty while starts on other runners are being committed", "[master]")
 {
     JobMasterFixture kit;
+    auto configuration = makeConfiguration(2);
+    configuration.pools.push_back({ "other", true, false });
+    kit.store.apply(AcceptConfiguration { configuration }, {});
     kit.report(makeReport("busy", 1));
     auto idle = makeReport("idle", 1);
     idle.service = "other";
