Rig: submit the lasting job until it is accepted, wait for a leader to pause

The job is now submitted until it is accepted, within the time to recover, and the scenario waits for a leader as long; both fail the run otherwise.

--- a/test/platform_rig/handovers.py
+++ b/test/platform_rig/handovers.py
@@ -45,7 +45,7 @@
 def pause_leader_once(rig):
     wait_for_room(rig.site)
     time.sleep(MARGIN)
-    slot = rig.site.leading_slot()
+    slot = rig.site.wait_for_leader()
     machine = rig.site.slots[slot]
     rig.note(f"pause {machine.name} (leader)")
     rig.site.begin_outage(slot)
--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -54,10 +54,11 @@
         self.wait(lambda: self.ledger.counts.get("jobs completed", 0) > 5, FINISH, "jobs complete")
         self.note("jobs complete; the faults begin")
 
-    def submit_long_job(self, job, service):
-        steps = [{"count": LONG_JOB_TASKS, "cpu": 200, "mem_mb": 64, "estimate_ms": 1000, "long_running": True}]
+    def submit_long_job(self, job, service, **fields):
+        """Submits a job with tasks that last, again while it is refused for the time being; fields: of its step."""
+        steps = [{"count": LONG_JOB_TASKS, "cpu": 200, "mem_mb": 64, "estimate_ms": 1000, "long_running": True, **fields}]
         submitter = Client(self.site, self.ledger, 0)
-        return submitter.submit(service, job, "work 0", steps)
+        self.wait(lambda: submitter.submit(service, job, "work 0", steps), RECOVERY, f"job {job} is accepted")
 
     def wait(self, condition, seconds, what):
         """Waits for a condition; returns whether it was reached, and records a broken rule otherwise."""
--- a/test/platform_rig/sites.py
+++ b/test/platform_rig/sites.py
@@ -182,6 +182,16 @@
                 return slot
         return None
 
+    def wait_for_leader(self, seconds=RECOVERY):
+        """Returns the slot of a process that says that it leads."""
+        start = self.now()
+        while self.now() - start < seconds:
+            slot = self.leading_slot()
+            if slot is not None:
+                return slot
+            time.sleep(0.05)
+        raise TimeoutError(f"no process led within {seconds} s")
+
     def close(self):
         for machine in self.all_machines:
             machine.close()
