--- a/test/platform_rig/provider.py
+++ b/test/platform_rig/provider.py
@@ -127,7 +127,8 @@
         with self.lock:
             old = self.runners[machine]
             old.kill()
-            self.runners[machine] = Runner(self.site, self.ledger, old.name, old.service, machine=machine)
+            self.runners[machine] = Runner(self.site, self.ledger, old.name, old.service, machine=machine,
+                                           report_delay=old.report_delay)
             return old.name, old.last_body
 
     def restart_runner(self, random):
