--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -74,8 +74,9 @@
     /// once. Must stay below the one second after which runners discard answers.
     Millis maxAnswerDelay { 600 };
     Millis reportDelayAfterWait { 20 }; ///< Delay of the next report after a delayed answer.
-    Millis reportIntervalWithCapacity { 250 }; ///< Report interval of a busy runner with free capacity.
-    Millis reportIntervalWhenFull { 1000 }; ///< Report interval of a runner without free capacity.
+    /// Report interval of a busy runner with free capacity, and of a draining one that still has runs.
+    Millis reportIntervalWithCapacity { 250 };
+    Millis reportIntervalWhenFull { 1000 }; ///< Report interval of other runners.
     /// A runner that has been silent this long gets no tasks, because it may be gone although its lease is
     /// valid.
     Millis silenceTimeout { 1500 };
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -271,8 +271,11 @@
     addStops(report, orders);
     throttleBestEffort(report, orders);
     auto reserved = reservedOn(report.incarnation);
-    bool hasCapacity = reserved.cpuMilli < report.capacity.cpuMilli;
-    orders.nextReport = hasCapacity ? m_options.reportIntervalWithCapacity : m_options.reportIntervalWhenFull;
+    // The runs of a draining runner must end before it leaves.
+    bool reportsOften = report.isDraining ? m_store.findAllocation(report.incarnation) != nullptr
+                                          : reserved.cpuMilli < report.capacity.cpuMilli;
+    orders.nextReport
+        = reportsOften ? m_options.reportIntervalWithCapacity : m_options.reportIntervalWhenFull;
     if (pending.answerDeadline > Millis {} && orders.starts.empty())
         orders.nextReport = m_options.reportDelayAfterWait;
     return orders;
--- a/test/JobMasterRecallTest.cpp
+++ b/test/JobMasterRecallTest.cpp
@@ -93,3 +93,15 @@
         REQUIRE(kit.report(report)->stops.empty());
     }
 }
+
+// Guards against a stop that reaches a draining runner only after it has left, and against reports of one
+// that has nothing to say.
+TEST_CASE("A draining runner reports often while it has runs", "[master]")
+{
+    TwoLongRunning fixture;
+    auto often = JobMasterOptions().reportIntervalWithCapacity;
+    REQUIRE(fixture.report(0, 3, 100, true)->nextReport == often);
+    auto idle = makeReport("z", 3);
+    idle.isDraining = true;
+    REQUIRE(fixture.kit.report(idle)->nextReport > often);
+}
