--- a/include/celeryline/jobs/JobCommand.h
+++ b/include/celeryline/jobs/JobCommand.h
@@ -29,13 +29,15 @@
     QueueConfiguration configuration;
 };
 
-/// Adds a job. Ignored if a job with its id exists.
+/// Adds a job. Ignored if a job with its id exists. If its id was cancelled before, the job is added as
+/// cancelled.
 struct SubmitJob {
     JobSpec job;
     Millis submittedAt; ///< Wall time.
 };
 
-/// Cancels a job. Ignored if the job has ended.
+/// Cancels a job. Ignored if the job has ended. If it is unknown, its id is remembered, because its
+/// submission may still be on the way; see CancelledJobIds.
 struct CancelJob {
     JobId job;
 };
@@ -116,9 +118,14 @@
     RunName run;
 };
 
+/// Forgets the oldest cancelled ids of unknown jobs.
+struct ForgetCancelledIds {
+    std::uint64_t upTo = 0; ///< See CancelledJobIds::forget().
+};
+
 /// A command of the replicated job state. Logs store the position of a type in this list.
 using JobCommand = std::variant<AcceptConfiguration, SubmitJob, CancelJob, OpenOccurrence, StartRun, EndRun,
-    RemoveJob, StartWave, NoteUpkeep, NoteMove, NoteSilence, NoteContact, NoteRecall>;
+    RemoveJob, StartWave, NoteUpkeep, NoteMove, NoteSilence, NoteContact, NoteRecall, ForgetCancelledIds>;
 
 /// @return the serialized command, as stored in the payload of a log entry.
 std::string encodeJobCommand(const JobCommand& command);
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -4,6 +4,7 @@
 
 #include "celeryline/jobs/AdviceCache.h"
 #include "celeryline/jobs/BestEffortRate.h"
+#include "celeryline/jobs/CounterHistory.h"
 #include "celeryline/jobs/JobStore.h"
 #include "celeryline/jobs/RunnerTable.h"
 #include "celeryline/jobs/RunnerTrust.h"
@@ -82,6 +83,9 @@
     /// Short, so that even a leader that lasts a second brings the end of a lost runner's lease closer.
     Millis firstReportTimeout { 500 };
     Millis endedJobRetention { 180000 }; ///< How long an ended job remains readable.
+    /// How long a cancellation of an unknown job is remembered. A submission can be held up by processes that
+    /// stand still for 5 s each and by its own timeout of seconds.
+    Millis cancelledIdRetention { 60000 };
     Millis housekeepingInterval { 500 }; ///< Interval of lease checks and other periodic work.
     OverdueLimits overdue;
 };
@@ -246,6 +250,8 @@
     void endExpiredRuns();
     void openDueOccurrences();
     void removeOldJobs();
+    void sampleCancelledIds();
+    void forgetCancelledIds();
 
     JobMasterOptions m_options;
     const JobStore& m_store;
@@ -272,6 +278,8 @@
     std::map<RunnerIncarnation, Millis> m_silenceAppliedAt;
     Millis
         m_snapshotAppliedAt; ///< When a snapshot last replaced the state; at first the start of the process.
+    /// Numbers of the cancelled ids by the time at which this replica had applied them. Kept across terms.
+    CounterHistory m_cancelledIdHistory;
     std::set<RunName> m_overdue; ///< Runs that are being replaced because they are stalled or slow.
     RunnerTrust m_trust;
     PlacementHints m_hints;
--- a/include/celeryline/jobs/JobSerialization.h
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -2,6 +2,7 @@
 /// cereal serialization of the job state and its commands.
 #pragma once
 
+#include "celeryline/jobs/CancelledJobIds.h"
 #include "celeryline/jobs/JobState.h"
 
 #include <cereal/cereal.hpp>
@@ -156,6 +157,11 @@
 
 template <typename Archive> void serialize(Archive& archive, NoteRecall& value) { archive(value.run); }
 
+template <typename Archive> void serialize(Archive& archive, ForgetCancelledIds& value)
+{
+    archive(value.upTo);
+}
+
 template <typename Archive> void serialize(Archive& archive, TaskRun& value)
 {
     archive(value.number, value.incarnation);
@@ -182,4 +188,17 @@
     archive(value.order, value.begun, value.done);
 }
 
+template <typename Archive> void save(Archive& archive, const CancelledJobIds& value)
+{
+    archive(value.ids(), value.forgotten());
+}
+
+template <typename Archive> void load(Archive& archive, CancelledJobIds& value)
+{
+    std::vector<JobId> ids;
+    std::uint64_t forgotten = 0;
+    archive(ids, forgotten);
+    value = CancelledJobIds::restore(ids, forgotten);
+}
+
 } // namespace celeryline
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -2,6 +2,7 @@
 /// State machine of the replicated job state.
 #pragma once
 
+#include "celeryline/jobs/CancelledJobIds.h"
 #include "celeryline/jobs/JobState.h"
 
 #include <map>
@@ -53,6 +54,9 @@
     /// @return the job, or null if it is unknown.
     const JobState* findJob(const JobId& id) const;
 
+    /// @return the ids of jobs that were cancelled before they were submitted.
+    const CancelledJobIds& cancelledIds() const { return m_cancelledIds; }
+
     /// @return the allocations of each incarnation of a runner; incarnations without any have no entry.
     const std::map<RunnerIncarnation, RunnerAllocation>& allocations() const { return m_allocations; }
 
@@ -89,10 +93,12 @@
     void applyCommand(const NoteSilence& command, Millis time);
     void applyCommand(const NoteContact& command, Millis time);
     void applyCommand(const NoteRecall& command, Millis time);
+    void applyCommand(const ForgetCancelledIds& command, Millis time);
 
     JobState* mutableJob(const JobId& id);
     std::vector<StepState>* mutableSteps(const TaskName& task);
     TaskState* mutableTask(const TaskName& task);
+    void addCancelled(const SubmitJob& command, Millis time);
     void openOccurrence(JobState& job, std::uint32_t occurrence);
     void saveCheckpoint(const EndRun& command, TaskState& task);
     void completeTask(JobState& job, const TaskName& name, TaskState& task);
@@ -116,6 +122,7 @@
     std::map<std::uint64_t, WaveState> m_waves;
     std::map<std::string, MachineOrder> m_machineOrders;
     std::set<RunName> m_recalledRuns;
+    CancelledJobIds m_cancelledIds;
     // Indexes, updated by each command.
     std::set<JobId> m_openJobs;
     StartableJobs m_startableJobs;
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -25,6 +25,7 @@
     , m_clock(std::move(clock))
     , m_runners(std::max(options.runLease, options.runLeaseWhenLagging))
     , m_snapshotAppliedAt(m_clock().steady)
+    , m_cancelledIdHistory(options.cancelledIdRetention)
 {
 }
 
@@ -72,6 +73,7 @@
     if (now < m_nextHousekeeping || m_isHousekeeping)
         return;
     m_nextHousekeeping = now + m_options.housekeepingInterval;
+    sampleCancelledIds();
     // Free capacity can change without an event, for example when a runner stops reporting.
     m_mustRefreshCandidates = true;
     m_mustPlan = true;
@@ -83,6 +85,7 @@
     endExpiredRuns();
     openDueOccurrences();
     removeOldJobs();
+    forgetCancelledIds();
 }
 
 void JobMaster::followCommits()
@@ -91,6 +94,7 @@
     if (now < m_nextHousekeeping)
         return;
     m_nextHousekeeping = now + m_options.housekeepingInterval;
+    sampleCancelledIds();
     pruneStaleState();
 }
 
--- a/src/jobs/JobMasterJobs.cpp
+++ b/src/jobs/JobMasterJobs.cpp
@@ -34,4 +34,16 @@
         m_log.propose(commands, [](bool) {});
 }
 
+void JobMaster::sampleCancelledIds()
+{
+    m_cancelledIdHistory.sample(m_store.cancelledIds().newest(), m_clock().steady);
+}
+
+void JobMaster::forgetCancelledIds()
+{
+    auto upTo = m_cancelledIdHistory.oldValue();
+    if (upTo > m_store.cancelledIds().forgotten())
+        m_log.propose({ ForgetCancelledIds { upTo } }, [](bool) {});
+}
+
 } // namespace celeryline
--- a/src/jobs/JobMasterSilence.cpp
+++ b/src/jobs/JobMasterSilence.cpp
@@ -32,6 +32,7 @@
 {
     m_snapshotAppliedAt = m_clock().steady;
     m_silenceAppliedAt.clear();
+    m_cancelledIdHistory.clear();
     m_hints.failedOn.clear();
 }
 
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -27,10 +27,14 @@
     }
 }
 
-void JobStore::applyCommand(const SubmitJob& command, Millis)
+void JobStore::applyCommand(const SubmitJob& command, Millis time)
 {
     if (m_jobs.count(command.job.id) != 0)
         return;
+    if (m_cancelledIds.contains(command.job.id)) {
+        addCancelled(command, time);
+        return;
+    }
     auto& job = m_jobs[command.job.id];
     job.spec = command.job;
     job.submittedAt = command.submittedAt;
@@ -42,11 +46,24 @@
         openOccurrence(job, 0);
 }
 
+void JobStore::addCancelled(const SubmitJob& command, Millis time)
+{
+    auto& job = m_jobs[command.job.id];
+    job.spec = command.job;
+    job.submittedAt = command.submittedAt;
+    job.phase = JobPhase::Cancelled;
+    job.endedAt = time;
+    releaseIfIdle(job);
+}
+
 void JobStore::applyCommand(const CancelJob& command, Millis time)
 {
     auto* job = mutableJob(command.job);
-    if (job != nullptr && job->phase == JobPhase::Open)
+    if (job == nullptr) {
+        m_cancelledIds.add(command.job);
+    } else if (job->phase == JobPhase::Open) {
         endJob(*job, JobPhase::Cancelled, time);
+    }
 }
 
 void JobStore::applyCommand(const OpenOccurrence& command, Millis)
@@ -225,6 +242,11 @@
         m_recalledRuns.insert(command.run);
 }
 
+void JobStore::applyCommand(const ForgetCancelledIds& command, Millis)
+{
+    m_cancelledIds.forget(command.upTo);
+}
+
 void JobStore::openOccurrence(JobState& job, std::uint32_t occurrence)
 {
     std::vector<StepState> steps(job.spec.steps.size());
--- a/src/jobs/JobStoreSnapshot.cpp
+++ b/src/jobs/JobStoreSnapshot.cpp
@@ -25,7 +25,7 @@
         [](const JobState* a, const JobState* b) { return a->spec.id < b->spec.id; });
     for (const auto* job : jobs)
         archive(*job);
-    archive(silences(), m_recalledRuns);
+    archive(silences(), m_recalledRuns, m_cancelledIds);
     return stream.str();
 }
 
@@ -44,12 +44,14 @@
             archive(job);
             restored.m_jobs.emplace(job.spec.id, std::move(job));
         }
-        // Snapshots of earlier versions lack one or both of these.
+        // Snapshots of earlier versions lack some of these.
         auto isAtEnd = [&stream] { return stream.peek() == std::istringstream::traits_type::eof(); };
         if (!isAtEnd())
             archive(silences);
         if (!isAtEnd())
             archive(restored.m_recalledRuns);
+        if (!isAtEnd())
+            archive(restored.m_cancelledIds);
     } catch (const std::exception& e) {
         throw Error(ErrorKind::Corrupt, std::string("a snapshot of the jobs can't be read: ") + e.what(),
             "run the same version on all instances");
--- a/test/JobSimulation.cpp
+++ b/test/JobSimulation.cpp
@@ -87,6 +87,17 @@
     trySubmission(submission);
 }
 
+void JobSimulation::submitAfterCancellation(const JobSpec& job, std::int64_t delay)
+{
+    auto cancellation = std::make_shared<Submission>();
+    cancellation->command = CancelJob { job.id };
+    cancellation->onDone = [this, job, delay] {
+        m_cancelled.insert(job.id);
+        after(delay, [this, job] { submit(job); });
+    };
+    trySubmission(cancellation);
+}
+
 void JobSimulation::configure(const QueueConfiguration& configuration)
 {
     auto submission = std::make_shared<Submission>();
@@ -106,6 +117,8 @@
             target->master().request(submission->command, [this, submission](RequestOutcome outcome) {
                 if (outcome != RequestOutcome::Done)
                     return;
+                if (!submission->isDone && submission->onDone)
+                    submission->onDone();
                 submission->isDone = true;
                 if (!submission->job.empty())
                     m_accepted.insert(submission->job);
--- a/test/JobSimulation.h
+++ b/test/JobSimulation.h
@@ -36,6 +36,11 @@
     /// Submits a job through random replicas until it is accepted.
     void submit(const JobSpec& job);
 
+    /// Cancels a job through random replicas until that is confirmed, and submits it later. A task of it that
+    /// starts fails the simulation.
+    /// @param delay time from the confirmation to the submission.
+    void submitAfterCancellation(const JobSpec& job, std::int64_t delay);
+
     /// Submits a configuration through random replicas until it is accepted.
     void configure(const QueueConfiguration& configuration);
 
@@ -104,6 +109,7 @@
     std::vector<std::unique_ptr<Replica>> m_replicas;
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::set<std::string> m_accepted; ///< Jobs whose acceptance was confirmed to the client.
+    std::set<JobId> m_cancelled; ///< Jobs whose cancellation was confirmed before they were submitted.
     std::uint64_t m_acceptedVersion = 0; ///< Highest configuration version whose acceptance was confirmed.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose successful end was acknowledged to the runner.
     std::uint64_t m_startedRuns = 0;
--- a/test/JobSimulationParts.h
+++ b/test/JobSimulationParts.h
@@ -201,6 +201,7 @@
     JobCommand command;
     std::string job; ///< Id of the submitted job; empty for other requests.
     bool isDone = false;
+    std::function<void()> onDone {}; ///< Called once when it is confirmed; may be empty.
 };
 
 } // namespace celeryline::test
--- a/test/JobSimulationRunners.cpp
+++ b/test/JobSimulationRunners.cpp
@@ -93,6 +93,8 @@
             continue;
         if (m_acknowledgedDone.count(start.run.task) != 0)
             fail(textOf(start.run.task) + " starts again after its end was acknowledged");
+        if (m_cancelled.count(start.run.task.job) != 0)
+            fail(textOf(start.run.task) + " starts although its job was cancelled before it was submitted");
         ++m_startedRuns;
         runner.work.push_back({ start.run, m_now + 100 + static_cast<std::int64_t>(below(900)) });
     }
--- a/test/platform/PlatformApiTest.cpp
+++ b/test/platform/PlatformApiTest.cpp
@@ -1,11 +1,84 @@
 #include "platform/PlatformApi.h"
 
 #include "JobKit.h"
+#include "MemoryFileSystem.h"
+#include "ReservedAddress.h"
+#include "SingleNode.h"
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <string>
+
 using namespace celeryline;
 using namespace celeryline::platform;
+using namespace celeryline::test;
+
+namespace {
+
+const std::string jobPath = "/work/00000000000000c1";
+
+/// The API of a control process with one queue, which can be restarted.
+class SingleApi {
+public:
+    SingleApi() { start(true); }
+
+    void restart()
+    {
+        m_api.reset();
+        m_node.reset();
+        start(false);
+    }
+
+    ForwardedResponse call(const std::string& method, const std::string& target, const std::string& body = "")
+    {
+        ForwardedRequest request;
+        request.method = method;
+        request.host = "jobs.example";
+        request.target = target;
+        request.body = body;
+        return m_api->handle(request).wait(m_io.waitScope);
+    }
+
+    ForwardedResponse submit(const std::string& target)
+    {
+        return call("POST", target, R"({"spec":"text","steps":[{"count":2,"cpu":500,"estimate_ms":900}]})");
+    }
+
+    const JobStore& store() const { return m_node->node().store(); }
+
+    /// Cancels jobs that nobody submits, until their record is full.
+    void fillCancelledIds()
+    {
+        for (std::size_t i = 0; i < CancelledJobIds::maxSize; ++i)
+            m_node->node().master().request(CancelJob { "x" + std::to_string(i) }, [](RequestOutcome) {});
+        REQUIRE(m_node->waitFor([&] { return store().cancelledIds().isFull(); }));
+    }
+
+private:
+    void start(bool isFirstStart)
+    {
+        m_node = std::make_unique<SingleNode>(m_io, m_files, m_address.text(), isFirstStart);
+        REQUIRE(m_node->waitFor([&] { return m_node->node().isLeading(); }));
+        m_api = std::make_unique<PlatformApi>(m_node->node(), m_address.text());
+        if (!isFirstStart)
+            return;
+        auto configuration = makeConfiguration();
+        configuration.queues[0].key = "jobs.example/work/";
+        bool isCommitted = false;
+        m_node->node().master().request(AcceptConfiguration { configuration },
+            [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
+        REQUIRE(m_node->waitFor([&] { return isCommitted; }));
+    }
+
+    MemoryFileSystem m_files;
+    kj::AsyncIoContext m_io = kj::setupAsyncIo();
+    const ReservedAddress m_address;
+    std::unique_ptr<SingleNode> m_node;
+    std::unique_ptr<PlatformApi> m_api;
+};
+
+} // namespace
 
 // Guards against routing a request to a queue with a shorter matching prefix or of another host.
 TEST_CASE("A request is routed to the queue with the longest matching path prefix", "[platform]")
@@ -22,3 +95,38 @@
     REQUIRE(findQueueByPath(configuration, "b.example", "/x/id") == nullptr);
     REQUIRE(findQueueByPath(configuration, "a", "/x/id") == nullptr);
 }
+
+// Guards against a job that runs for good although its caller was told that it is cancelled: the submission
+// was held up by an entry process that stood still (review/9).
+TEST_CASE("A cancellation holds for a submission that arrives after it, also after a restart",
+    "[platform][cancellations]")
+{
+    SingleApi api;
+    REQUIRE(api.call("GET", jobPath).status == 410);
+    REQUIRE(api.call("DELETE", jobPath).status == 410);
+    REQUIRE(api.call("DELETE", jobPath).status == 410);
+    REQUIRE(api.call("GET", jobPath).status == 410); // Nobody has submitted it.
+    api.restart();
+    REQUIRE(api.submit(jobPath).status == 200);
+    REQUIRE(api.store().openJobs().empty());
+    REQUIRE(api.call("GET", jobPath).body.find("cancelled") != std::string::npos);
+    REQUIRE(api.submit(jobPath).status == 200);
+    REQUIRE(api.call("DELETE", jobPath).status == 200);
+    REQUIRE(api.store().openJobs().empty());
+}
+
+// Guards against a cancellation that is acknowledged although it isn't recorded, and against one of a known
+// job that a full record delays.
+TEST_CASE("A cancellation that can't be recorded is refused at once", "[platform][cancellations]")
+{
+    SingleApi api;
+    REQUIRE(api.submit("/work/00000000000000aa").status == 200);
+    api.fillCancelledIds();
+    auto refused = api.call("DELETE", jobPath);
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.retryAfter > Millis {});
+    REQUIRE(api.call("DELETE", "/work/00000000000000aa").status == 200);
+    REQUIRE(api.submit(jobPath).status == 200);
+    REQUIRE(api.store().openJobs().size() == 1);
+    REQUIRE(api.call("DELETE", jobPath).status == 200);
+}
