--- a/include/celeryline/jobs/JobSerialization.h
+++ b/include/celeryline/jobs/JobSerialization.h
@@ -57,9 +57,17 @@
 
 namespace detail {
 
-/// How a queue's need for advice is stored. Entries and snapshots of earlier versions contain None and
-/// WithoutTiming, as false and true.
-enum class StoredAdvice : std::uint8_t { None, WithoutTiming, WithTiming };
+/// Flags of a queue in one byte. Earlier versions stored a boolean there, which is NeedsAdvice, and later
+/// AdviceWithTiming.
+enum StoredQueueFlags : std::uint8_t { NeedsAdvice = 1, AdviceWithTiming = 2, RequiresKey = 4 };
+
+/// Fields that commands and snapshots of earlier versions lack. They follow the other bytes.
+struct CustomerFields {
+    std::vector<CustomerSettings> customers; ///< Of the configuration.
+    std::vector<std::pair<JobId, std::string>> jobs; ///< Names of the customers of jobs that have one.
+};
+
+inline bool isEmpty(const CustomerFields& fields) { return fields.customers.empty() && fields.jobs.empty(); }
 
 } // namespace detail
 
@@ -67,11 +75,14 @@
 {
     archive(value.key, value.name, value.service, value.priority, value.attempts, value.stretch);
     archive(value.objective, value.timeout);
-    bool hasTiming = value.adviceTiming != AdviceTiming {};
-    auto withAdvice = hasTiming ? detail::StoredAdvice::WithTiming : detail::StoredAdvice::WithoutTiming;
-    auto stored = value.needsAdvice ? withAdvice : detail::StoredAdvice::None;
-    archive(stored);
-    if (stored == detail::StoredAdvice::WithTiming)
+    bool hasTiming = value.needsAdvice && value.adviceTiming != AdviceTiming {};
+    std::uint8_t flags = 0;
+    if (value.needsAdvice)
+        flags = hasTiming ? detail::AdviceWithTiming : detail::NeedsAdvice;
+    if (value.requiresKey)
+        flags |= detail::RequiresKey;
+    archive(flags);
+    if (hasTiming)
         archive(value.adviceTiming);
 }
 
@@ -79,13 +90,28 @@
 {
     archive(value.key, value.name, value.service, value.priority, value.attempts, value.stretch);
     archive(value.objective, value.timeout);
-    auto stored = detail::StoredAdvice::None;
-    archive(stored);
-    value.needsAdvice = stored != detail::StoredAdvice::None;
-    if (stored == detail::StoredAdvice::WithTiming)
+    std::uint8_t flags = 0;
+    archive(flags);
+    value.requiresKey = (flags & detail::RequiresKey) != 0;
+    value.needsAdvice = (flags & (detail::NeedsAdvice | detail::AdviceWithTiming)) != 0;
+    if ((flags & detail::AdviceWithTiming) != 0)
         archive(value.adviceTiming);
 }
 
+template <typename Archive> void serialize(Archive& archive, CustomerSettings& value)
+{
+    archive(value.name, value.apiKeys, value.weight, value.priority, value.limit);
+}
+
+namespace detail {
+
+template <typename Archive> void serialize(Archive& archive, CustomerFields& value)
+{
+    archive(value.customers, value.jobs);
+}
+
+} // namespace detail
+
 template <typename Archive> void serialize(Archive& archive, PoolSettings& value)
 {
     archive(value.service, value.rejectsOverload, value.isStandby);
--- a/include/celeryline/jobs/JobSpec.h
+++ b/include/celeryline/jobs/JobSpec.h
@@ -44,6 +44,7 @@
     std::uint32_t occurrences = 0;
     Millis firstDue; ///< Wall time at which occurrence 0 is due.
     Millis period; ///< Interval between the due times of consecutive occurrences.
+    std::string customer; ///< Name of the customer that submitted it; empty for none.
 };
 
 /// @param step a step.
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -2,6 +2,7 @@
 /// State machine of the replicated job state.
 #pragma once
 
+#include "celeryline/customers/ApiKeyIndex.h"
 #include "celeryline/jobs/CancelledJobIds.h"
 #include "celeryline/jobs/JobState.h"
 
@@ -36,6 +37,8 @@
     void restoreSnapshot(const std::string& bytes);
 
     const QueueConfiguration& configuration() const { return m_configuration; }
+    /// @return the customers of the configuration by API key.
+    const ApiKeyIndex& apiKeys() const { return m_apiKeys; }
     std::size_t jobCount() const { return m_jobs.size(); }
     const std::map<std::uint64_t, WaveState>& waves() const { return m_waves; }
 
@@ -124,6 +127,7 @@
     std::set<RunName> m_recalledRuns;
     CancelledJobIds m_cancelledIds;
     // Indexes, updated by each command.
+    ApiKeyIndex m_apiKeys;
     std::set<JobId> m_openJobs;
     StartableJobs m_startableJobs;
     std::map<std::string, std::size_t> m_unstartedCounts; ///< Open jobs without a started task, by queue.
--- a/include/celeryline/jobs/QueueSettings.h
+++ b/include/celeryline/jobs/QueueSettings.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "celeryline/base/Millis.h"
+#include "celeryline/customers/CustomerSettings.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -37,6 +38,7 @@
     Millis timeout; ///< Timeout of a caller's request.
     bool needsAdvice = false; ///< A step may run only on runners that the advice service approves.
     AdviceTiming adviceTiming; ///< Only of use if needsAdvice.
+    bool requiresKey = false; ///< Callers must present the API key of a customer.
 };
 
 /// A pool of runners.
@@ -52,6 +54,7 @@
     std::vector<QueueSettings> queues;
     std::vector<PoolSettings> pools;
     std::string document; ///< The operator's original document, returned to readers unchanged.
+    std::vector<CustomerSettings> customers; ///< Empty if the deployment has none.
 };
 
 /// @param configuration a configuration.
--- a/include/celeryline/rpc/ForwardedRequest.h
+++ b/include/celeryline/rpc/ForwardedRequest.h
@@ -22,6 +22,7 @@
     std::string host;
     std::string target; ///< Path and query.
     std::string body;
+    std::string credential; ///< The caller's API key; empty if it sent none. Never logged.
 };
 
 /// Outcome of a forwarded request.
--- a/src/jobs/JobCommand.cpp
+++ b/src/jobs/JobCommand.cpp
@@ -30,13 +30,18 @@
     return stream.str();
 }
 
-template <typename Value> Value deserializeValue(const std::string& bytes)
+/// @param bytes the serialized value.
+/// @param fields receives the fields that follow the value, if there are any.
+template <typename Value>
+Value deserializeValue(const std::string& bytes, detail::CustomerFields* fields = nullptr)
 {
     std::istringstream stream(bytes);
     Value value;
     try {
         cereal::PortableBinaryInputArchive archive(stream);
         archive(value);
+        if (fields != nullptr && stream.peek() != std::istringstream::traits_type::eof())
+            archive(*fields);
     } catch (const std::exception& e) {
         throw Error(ErrorKind::Corrupt, std::string("a job command can't be read: ") + e.what(),
             "run the same version on all instances");
@@ -66,19 +71,58 @@
     return inflated;
 }
 
+detail::CustomerFields customerFieldsOf(const JobCommand& command)
+{
+    detail::CustomerFields fields;
+    if (const auto* accept = std::get_if<AcceptConfiguration>(&command))
+        fields.customers = accept->configuration.customers;
+    const auto* submit = std::get_if<SubmitJob>(&command);
+    if (submit != nullptr && !submit->job.customer.empty())
+        fields.jobs.emplace_back(submit->job.id, submit->job.customer);
+    return fields;
+}
+
+void setCustomerFields(JobCommand& command, detail::CustomerFields fields)
+{
+    if (auto* accept = std::get_if<AcceptConfiguration>(&command))
+        accept->configuration.customers = std::move(fields.customers);
+    auto* submit = std::get_if<SubmitJob>(&command);
+    if (submit != nullptr && !fields.jobs.empty())
+        submit->job.customer = std::move(fields.jobs.front().second);
+}
+
+std::string serializeCommand(const JobCommand& command)
+{
+    std::ostringstream stream;
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(command);
+    auto fields = customerFieldsOf(command);
+    if (!isEmpty(fields))
+        archive(fields);
+    return stream.str();
+}
+
+JobCommand deserializeCommand(const std::string& bytes)
+{
+    detail::CustomerFields fields;
+    auto command = deserializeValue<JobCommand>(bytes, &fields);
+    setCustomerFields(command, std::move(fields));
+    return command;
+}
+
 } // namespace
 
 std::string encodeJobCommand(const JobCommand& command)
 {
-    auto bytes = serializeValue(command);
+    auto bytes = serializeCommand(command);
     return bytes.size() < compressionThreshold ? bytes : compressedMarker + serializeValue(deflate(bytes));
 }
 
 JobCommand decodeJobCommand(const std::string& bytes)
 {
     if (!bytes.empty() && bytes.front() == compressedMarker)
-        return deserializeValue<JobCommand>(inflate(deserializeValue<std::string>(bytes.substr(1))));
-    return deserializeValue<JobCommand>(bytes);
+        return deserializeCommand(inflate(deserializeValue<std::string>(bytes.substr(1))));
+    return deserializeCommand(bytes);
 }
 
 } // namespace celeryline
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -20,6 +20,7 @@
     if (command.configuration.version <= m_configuration.version)
         return;
     m_configuration = command.configuration;
+    m_apiKeys = ApiKeyIndex(m_configuration.customers);
     for (const auto& id : m_openJobs) {
         auto& job = m_jobs.at(id);
         updateObjective(job);
--- a/src/jobs/JobStoreIndexes.cpp
+++ b/src/jobs/JobStoreIndexes.cpp
@@ -129,6 +129,7 @@
 
 void JobStore::rebuildIndexes()
 {
+    m_apiKeys = ApiKeyIndex(m_configuration.customers);
     for (auto& [id, job] : m_jobs)
         indexJob(job);
 }
--- a/src/jobs/JobStoreSnapshot.cpp
+++ b/src/jobs/JobStoreSnapshot.cpp
@@ -26,6 +26,13 @@
     for (const auto* job : jobs)
         archive(*job);
     archive(silences(), m_recalledRuns, m_cancelledIds);
+    detail::CustomerFields fields { m_configuration.customers, {} };
+    for (const auto* job : jobs) {
+        if (!job->spec.customer.empty())
+            fields.jobs.emplace_back(job->spec.id, job->spec.customer);
+    }
+    if (!isEmpty(fields))
+        archive(fields);
     return stream.str();
 }
 
@@ -33,6 +40,7 @@
 {
     JobStore restored;
     std::map<RunnerIncarnation, Millis> silences;
+    detail::CustomerFields fields;
     std::istringstream stream(bytes);
     try {
         cereal::PortableBinaryInputArchive archive(stream);
@@ -52,10 +60,15 @@
             archive(restored.m_recalledRuns);
         if (!isAtEnd())
             archive(restored.m_cancelledIds);
+        if (!isAtEnd())
+            archive(fields);
     } catch (const std::exception& e) {
         throw Error(ErrorKind::Corrupt, std::string("a snapshot of the jobs can't be read: ") + e.what(),
             "run the same version on all instances");
     }
+    restored.m_configuration.customers = std::move(fields.customers);
+    for (auto& [id, customer] : fields.jobs)
+        restored.m_jobs.at(id).spec.customer = std::move(customer);
     restored.rebuildIndexes();
     for (const auto& [incarnation, leaseLeft] : silences)
         restored.applyCommand(NoteSilence { incarnation, leaseLeft }, {});
--- a/src/rpc/Control.capnp
+++ b/src/rpc/Control.capnp
@@ -24,6 +24,8 @@
   target @2 :Text;
   body @3 :Data;
   origin @4 :UInt8;
+  credential @5 :Text;
+  # The caller's API key; empty for none.
 }
 
 struct ForwardedResponse {
--- a/src/rpc/Control.capnp.h
+++ b/src/rpc/Control.capnp.h
@@ -60,7 +60,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a5269224c3e13ae8, 1, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a5269224c3e13ae8, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -370,6 +370,9 @@
 
   inline  ::uint8_t getOrigin() const;
 
+  inline bool hasCredential() const;
+  inline  ::capnp::Text::Reader getCredential() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -429,6 +432,13 @@
   inline  ::uint8_t getOrigin();
   inline void setOrigin( ::uint8_t value);
 
+  inline bool hasCredential();
+  inline  ::capnp::Text::Builder getCredential();
+  inline void setCredential( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initCredential(unsigned int size);
+  inline void adoptCredential(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownCredential();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1495,6 +1505,40 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ForwardedRequest::Reader::hasCredential() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasCredential() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getCredential() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getCredential() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setCredential( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initCredential(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptCredential(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownCredential() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint8_t ForwardedResponse::Reader::getOutcome() const {
   return _reader.getDataField< ::uint8_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/rpc/ControlConversion.cpp
+++ b/src/rpc/ControlConversion.cpp
@@ -40,6 +40,7 @@
     to.setHost(kjText(from.host));
     to.setTarget(kjText(from.target));
     to.setBody(kjBytes(from.body));
+    to.setCredential(kjText(from.credential));
 }
 
 ForwardedRequest read(rpc::ForwardedRequest::Reader from)
@@ -50,6 +51,7 @@
     request.host = text(from.getHost());
     request.target = text(from.getTarget());
     request.body = bytes(from.getBody());
+    request.credential = text(from.getCredential());
     return request;
 }
 
