--- a/src/jobs/JobEvents.cpp
+++ b/src/jobs/JobEvents.cpp
@@ -93,6 +93,7 @@
         Event event("job-submitted");
         event.with("job", submit->job.id.text())
             .with("queue", submit->job.queue)
+            .with("customer", submit->job.customer)
             .with("steps", submit->job.steps.size());
         return event;
     }
@@ -104,7 +105,8 @@
     if (const auto* accept = std::get_if<AcceptConfiguration>(&command)) {
         Event event("configuration");
         event.with("version", accept->configuration.version)
-            .with("queues", accept->configuration.queues.size());
+            .with("queues", accept->configuration.queues.size())
+            .with("customers", accept->configuration.customers.size());
         return event;
     }
     if (const auto* wave = std::get_if<StartWave>(&command)) {
