Keep customers within their limits on running work

Cause: a customer's limit (CPU, memory, accelerators) was decoded and replicated, and nothing read it.

A plan checks each start against the limit, its own earlier starts included; gangs count as a whole, second runs and long-running tasks like any other, best-effort tasks with the CPU that they declare. Jobs of customers at their limit are skipped by number before they are looked up and are no failed searches. No advice is asked for customers at their limit. A job that exceeds the limit by itself gets 422. The wait report separates jobs that a limit holds back from those that lack capacity, so that a limit moves no machines; celeryline_oldest_quota_wait_ms gives the longest such wait.

Each of eight mutations (plan's starts not counted, ends not subtracted, gang counted as one task, ...) makes at least one test of [quota] fail. [jobs], [placement], [waits], [history], [platform], [machines], [progress] and [advice] pass on x86-64, once each, beside other load.

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -172,14 +172,20 @@
     /// @param runner id of the runner.
     void noteMachineDown(const std::string& runner);
 
-    /// @return the oldest waiting job of each pool as of the last check, which runs every second. Meaningless
-    /// while this instance isn't the leader.
+    /// @return the oldest waiting job of each pool as of the last check, which runs every second, without
+    /// those that the limit of their customer holds back. Meaningless while this instance isn't the leader.
     const std::vector<PoolWait>& waits() const { return m_waits; }
 
     /// @return the longest wait among them within this instance's leadership; 0 if no job waits or this
     /// instance isn't the leader.
     Millis oldestWait() const;
 
+    /// Like waits(), for jobs that the limit of their customer holds back. More capacity doesn't start them.
+    const std::vector<PoolWait>& quotaWaits() const { return m_quotaWaits; }
+
+    /// Like oldestWait(), for quotaWaits().
+    Millis oldestQuotaWait() const;
+
 private:
     /// An unanswered report. Its contents are in the runner's state in the table.
     struct PendingReport {
@@ -204,7 +210,9 @@
     void probeQuarantinedPools();
     void checkWaits(const std::vector<StartRun>& starts);
     PlacementCandidate candidateAfterPlan(const std::string& runner, const RunnerState& state) const;
-    void updateWaitTimes(Millis now);
+    void updateWaitTimes(Millis now, std::vector<PoolWait>& waits);
+    void logWait(const PoolWait& wait, Millis now) const;
+    Millis longestOf(const std::vector<PoolWait>& waits) const;
     void answerAfterPlan(const std::shared_ptr<PendingReport>& pending);
     void answerAwaitingPlan();
     void answerDelayed(const std::string& runner);
@@ -285,7 +293,8 @@
     RunnerTrust m_trust;
     PlacementHints m_hints;
     std::vector<PoolWait> m_waits; ///< As of the last check.
-    std::map<TaskName, Millis> m_waitingSince; ///< Steady time at which a step first appeared in m_waits.
+    std::vector<PoolWait> m_quotaWaits; ///< As of the last check.
+    std::map<TaskName, Millis> m_waitingSince; ///< Steady time at which a step first appeared in a check.
     Millis m_nextWaitCheck;
     PlacementAdvisor* m_advisor = nullptr; ///< Null without an advice service.
     AdviceCache m_adviceCache;
--- a/include/celeryline/jobs/JobState.h
+++ b/include/celeryline/jobs/JobState.h
@@ -2,6 +2,7 @@
 /// The replicated state of jobs, tasks and runs.
 #pragma once
 
+#include "celeryline/jobs/CustomerUse.h"
 #include "celeryline/jobs/JobCommand.h"
 
 #include <cstdint>
@@ -54,6 +55,7 @@
     Millis remaining; ///< remainingCriticalPath() of its first open occurrence.
     /// Latest wall time at which its remaining work can start and still meet the objective.
     Millis latestStart;
+    CustomerNumber customer = noCustomer; ///< Number of its customer on this replica.
 };
 
 /// State of one maintenance wave.
@@ -70,6 +72,9 @@
     JobId id;
     /// Component-wise minimum of the reservations of its waiting tasks; not part of the order.
     Resources minDemand {};
+    /// Component-wise minimum of what its waiting tasks count against a limit; not part of the order.
+    Resources minQuotaDemand {};
+    CustomerNumber customer = noCustomer; ///< Not part of the order.
 };
 
 /// Orders long-running jobs first, then by latest start.
@@ -112,10 +117,15 @@
 /// @return whether all steps that it depends on are complete, so that its tasks may start.
 bool isStepReady(const std::vector<StepSpec>& spec, const std::vector<StepState>& steps, std::size_t step);
 
+/// Component-wise minima over the tasks of a job that are ready to start.
+struct MinDemand {
+    Resources reserved; ///< Reservations on a runner.
+    Resources quota; ///< What they count against the limit of the customer.
+};
+
 /// @param job a job.
-/// @return the component-wise minimum of the reservations of its tasks that are ready to start; nothing if
-/// there is no such task.
-std::optional<Resources> minStartableDemand(const JobState& job);
+/// @return the minima over its tasks that are ready to start; nothing if there is no such task.
+std::optional<MinDemand> minStartableDemand(const JobState& job);
 
 /// @param job a job.
 /// @return whether its tasks run until it is cancelled.
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -66,6 +66,13 @@
     /// @return the allocation on an incarnation, or null if there is none.
     const RunnerAllocation* findAllocation(const RunnerIncarnation& incarnation) const;
 
+    /// @return what the customers have running.
+    const CustomerUses& customerUses() const { return m_customerUses; }
+
+    /// @param name name of a customer.
+    /// @return what its active runs count against its limit.
+    CustomerUse useOfCustomer(const std::string& name) const;
+
     /// @return the step of a task, or null if the job or the step is unknown.
     const StepSpec* findStep(const TaskName& task) const;
 
@@ -133,6 +140,7 @@
     std::map<std::string, std::size_t> m_unstartedCounts; ///< Open jobs without a started task, by queue.
     std::set<std::pair<Millis, JobId>> m_idleEndedJobs;
     std::map<RunnerIncarnation, RunnerAllocation> m_allocations;
+    CustomerUses m_customerUses;
 };
 
 } // namespace celeryline
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -4,25 +4,13 @@
 
 #include "celeryline/jobs/CandidateIndex.h"
 #include "celeryline/jobs/JobStore.h"
-#include "celeryline/jobs/TaskFit.h"
+#include "celeryline/jobs/PlacementHints.h"
 
-#include <functional>
-#include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 namespace celeryline {
 
-/// Uncommitted state of the leader that influences placement.
-struct PlacementHints {
-    /// Tasks whose run is so slow that a second one should run beside it.
-    std::set<TaskName> speculativeTasks;
-    /// Steady time of the last failure of a task, by task and runner.
-    std::map<TaskName, FailureTimes> failedOn;
-    Millis now; ///< Steady time.
-};
-
 /// Lateness of a job relative to its objective.
 enum class JobLateness : std::uint8_t {
     InTime, ///< Can meet its objective; always the case for a long-running job.
@@ -43,14 +31,6 @@
 bool canPlace(const CandidateIndex& candidates, const StepSpec& spec, const StepState& step,
     const std::string& service);
 
-/// The tickets of the advice service.
-struct AdviceCheck {
-    /// Returns whether there is a ticket for any runner for a step.
-    std::function<bool(const TaskName& step)> hasTicket;
-    /// Returns whether the advice service approved a runner for a step.
-    std::function<bool(const TaskName& step, const std::string& runner)> isAdvised;
-};
-
 /// Chooses starts for tasks that are ready. Long-running jobs come first, then jobs that can still meet their
 /// objective, by priority and latest start. Late jobs get the remaining capacity, because their results are
 /// worth little; the least late ones come first, because their results may still be of use. Only a bounded
@@ -59,7 +39,8 @@
 /// Placement is best fit, which keeps large gaps for large tasks. The tasks of a gang start together or not
 /// at all. A step whose tasks should share a rack goes to the rack with the tightest fit. A runner on which
 /// the task failed comes last, and is excluded for two seconds if the pool has another one. Second runs of
-/// slow tasks are placed after everything else.
+/// slow tasks are placed after everything else. No start brings a customer above its limit; jobs of customers
+/// without room in it are skipped.
 /// @param store jobs and configuration.
 /// @param candidates runners that accept new tasks; the reservations of the starts are subtracted.
 /// @param wallNow wall time.
--- /dev/null
+++ b/include/celeryline/jobs/TaskPlacer.h
@@ -0,0 +1,88 @@
+/// @file
+/// Placement of the tasks of one job at a time, in the course of a plan.
+#pragma once
+
+#include "celeryline/jobs/CandidateIndex.h"
+#include "celeryline/jobs/JobStore.h"
+#include "celeryline/jobs/PlacementHints.h"
+#include "celeryline/jobs/UnplaceableDemands.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace celeryline {
+
+/// Places tasks on runners and collects the starts. No customer's runs exceed its limit.
+class TaskPlacer {
+public:
+    /// @param store jobs and configuration.
+    /// @param candidates runners that accept new tasks; the reservations of the starts are subtracted.
+    /// @param hints uncommitted state that influences placement.
+    /// @param advice tickets for steps of queues that need advice.
+    TaskPlacer(const JobStore& store, CandidateIndex& candidates, const PlacementHints& hints,
+        const AdviceCheck& advice);
+
+    /// Decides without a look at the job, which keeps a long backlog cheap.
+    /// @param service pool of the job's queue.
+    /// @param job a job.
+    /// @return whether it is known that no task of the job can start.
+    bool isExcluded(const std::string& service, const StartableJob& job);
+
+    /// Places as many tasks of a job as possible.
+    /// @return whether the search found no runner for any task.
+    bool placeJob(const JobState& job, const QueueSettings& queue);
+
+    /// Places a second run of a slow task.
+    void placeSpeculative(const TaskName& name);
+
+    std::vector<StartRun> takeStarts() { return std::move(m_starts); }
+
+private:
+    /// @return whether no runner has as much free capacity as the demand, as far as that is known.
+    bool isWithoutRoom(const std::string& service, const Resources& minDemand) const;
+
+    /// @return whether a reservation is known to fit on no runner of the pool with the label.
+    bool isKnownUnplaceable(
+        const std::string& service, const std::string& label, const Resources& reservation) const;
+
+    /// @param isFirst whether the step has no run yet, so that its limit per runner isn't reached.
+    /// @return whether every runner with the required label and enough free capacity may take a task of the
+    /// step.
+    bool dependsOnCapacityOnly(const StepSpec& spec, const TaskName& name, bool isFirst) const;
+
+    /// @return whether the limit of the job's customer leaves room for a task, or for the gang as a whole.
+    bool fitsQuota(const StepSpec& spec, const StepState& step);
+
+    void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service);
+
+    void addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate);
+
+    /// Withdraws the newest starts, which are those of one step.
+    /// @param first index of the first of them.
+    /// @param candidatesBefore their runners as they were before each start.
+    void withdrawStarts(
+        const StepSpec& spec, std::size_t first, const std::vector<PlacementCandidate>& candidatesBefore);
+
+    /// @return the failures of a task; null if it has none.
+    const FailureTimes* failuresOf(const TaskName& name) const;
+
+    const PlacementCandidate* chooseRunner(const StepSpec& spec, const TaskName& name,
+        const CandidatePool& pool, const std::map<std::string, std::uint32_t>& onRunner) const;
+
+    const JobStore& m_store;
+    CandidateIndex& m_candidates;
+    const PlacementHints& m_hints;
+    const AdviceCheck& m_advice;
+    QuotaLedger m_quota;
+    /// By pool and required label.
+    std::map<std::pair<std::string, std::string>, UnplaceableDemands> m_unplaceable;
+    std::string m_rack; ///< Preferred rack of the current step; empty if it has none.
+    bool m_needsAdvice = false; ///< Whether the current queue needs advice.
+    CustomerNumber m_customer = noCustomer; ///< Customer of the current job.
+    std::vector<StartRun> m_starts;
+};
+
+} // namespace celeryline
--- a/include/celeryline/jobs/WaitReason.h
+++ b/include/celeryline/jobs/WaitReason.h
@@ -7,7 +7,7 @@
 
 namespace celeryline {
 
-/// Reason for which a runner can't take a task.
+/// Reason for which a runner can't take a task, or for which a customer's task doesn't start at all.
 enum class WaitReason : std::uint8_t {
     HasRoom, ///< None: the task could start there.
     Leaving, ///< The runner is draining or has left.
@@ -21,14 +21,15 @@
     FewAccelerators, ///< Not enough free accelerators.
     TaskLimit, ///< The runner has reached the step's limit of tasks per runner.
     FailedThere, ///< The task failed there, and another runner of the pool is eligible.
-    NoAdvice ///< The advice service has not approved the runner for the step.
+    NoAdvice, ///< The advice service has not approved the runner for the step.
+    Quota ///< The customer would exceed its limit. Concerns all runners.
 };
 
 /// All reasons, in the order of the checks.
-constexpr std::array<WaitReason, 13> allWaitReasons { WaitReason::HasRoom, WaitReason::Leaving,
+constexpr std::array<WaitReason, 14> allWaitReasons { WaitReason::HasRoom, WaitReason::Leaving,
     WaitReason::Silent, WaitReason::Reserved, WaitReason::Quarantine, WaitReason::Probation,
     WaitReason::MissingLabel, WaitReason::LittleCpu, WaitReason::LittleMemory, WaitReason::FewAccelerators,
-    WaitReason::TaskLimit, WaitReason::FailedThere, WaitReason::NoAdvice };
+    WaitReason::TaskLimit, WaitReason::FailedThere, WaitReason::NoAdvice, WaitReason::Quota };
 
 /// @param reason a reason.
 /// @return its name in log events.
--- a/include/celeryline/jobs/WaitReport.h
+++ b/include/celeryline/jobs/WaitReport.h
@@ -31,25 +31,32 @@
     Millis age; ///< Time since the job was submitted or its occurrence was due.
     Millis waited; ///< Time since the leader first found the step to be its pool's oldest.
     std::map<WaitReason, std::uint32_t> runners; ///< Number of the pool's runners, by reason.
+    /// Reason that concerns all runners; HasRoom if there is none.
+    WaitReason hold = WaitReason::HasRoom;
+    std::string customer {}; ///< Customer of the job; empty for none.
+    Resources customerRunning {}; ///< What its active runs, and the plan's starts, count against its limit.
+    Resources customerLimit {}; ///< Its limit; 0 for none.
 };
 
 /// @param job a job.
 /// @return its first task that is ready to start, if the job is open and has no active run.
 std::optional<TaskName> waitingTaskOf(const JobState& job);
 
-/// Finds the oldest waiting job of each pool, by submission or due time. Examines a bounded number of jobs
-/// per queue, in the order of latestStart.
+/// Finds the oldest waiting job of each pool, by submission or due time, and the oldest one of those whose
+/// customer is at its limit. Examines a bounded number of jobs of either kind per queue, in the order of
+/// latestStart.
 /// @param store jobs and configuration.
 /// @param runners all known runners, with the capacity that the last plan left free.
-/// @param starting jobs of which that plan starts a task.
+/// @param starts starts of that plan, which are not committed yet.
 /// @param wallNow wall time.
 /// @param hints uncommitted state that influences placement.
 /// @param advice tickets for steps of queues that need advice; without it they don't start.
-/// @return one entry per pool with a waiting job, by pool; their `waited` is 0.
+/// @return by pool, an entry for a job that its customer's limit doesn't hold back, and one for a job that it
+/// holds back; their `waited` is 0.
 ///
 /// Example: `for (const auto& wait : findPoolWaits(store, runners, {}, wallNow)) { log(wait); }`
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
-    const std::set<JobId>& starting, Millis wallNow, const PlacementHints& hints = {},
+    const std::vector<StartRun>& starts, Millis wallNow, const PlacementHints& hints = {},
     const AdviceCheck& advice = {});
 
 } // namespace celeryline
--- a/src/jobs/AdvicePlan.cpp
+++ b/src/jobs/AdvicePlan.cpp
@@ -52,11 +52,15 @@
 std::vector<WaitingJob> waitingJobs(const JobStore& store, Millis wallNow)
 {
     std::vector<WaitingJob> waiting;
+    QuotaLedger quota(store.customerUses());
     for (const auto& [key, jobs] : store.startableJobs()) {
         const auto* queue = findQueue(store.configuration(), key);
         if (queue == nullptr || !queue->needsAdvice)
             continue;
         for (const auto& startable : jobs) {
+            // Tickets for a customer at its limit would run out unused.
+            if (!quota.fits(startable.customer, startable.minQuotaDemand, 1))
+                continue;
             bool isLate = !startable.isLongRunning && startable.latestStart < wallNow;
             auto latestStart = startable.latestStart.count;
             // Of late jobs, the plan prefers the least late ones.
--- a/src/jobs/JobEvents.cpp
+++ b/src/jobs/JobEvents.cpp
@@ -135,6 +135,16 @@
         .with("milliCores", wait.demand.cpuMilli)
         .with("memoryMb", wait.demand.memoryMb)
         .with("accelerators", wait.demand.accelerators);
+    if (!wait.customer.empty()) {
+        event.with("customer", wait.customer)
+            .with("heldBackBy", wait.hold == WaitReason::HasRoom ? "capacity" : waitReasonName(wait.hold))
+            .with("customerMilliCores", wait.customerRunning.cpuMilli)
+            .with("customerMemoryMb", wait.customerRunning.memoryMb)
+            .with("customerAccelerators", wait.customerRunning.accelerators)
+            .with("limitMilliCores", wait.customerLimit.cpuMilli)
+            .with("limitMemoryMb", wait.customerLimit.memoryMb)
+            .with("limitAccelerators", wait.customerLimit.accelerators);
+    }
     // If none of these fields is present, the leader knows no runner of the pool.
     for (const auto& [reason, count] : wait.runners)
         event.with(waitReasonName(reason), count);
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -53,6 +53,7 @@
     m_hints.speculativeTasks.clear();
     m_nextHousekeeping = {};
     m_waits.clear();
+    m_quotaWaits.clear();
     m_waitingSince.clear();
     m_adviceCache.clear();
 }
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -21,6 +21,7 @@
         return;
     m_configuration = command.configuration;
     m_apiKeys = ApiKeyIndex(m_configuration.customers);
+    m_customerUses.setCustomers(m_configuration.customers);
     for (const auto& id : m_openJobs) {
         auto& job = m_jobs.at(id);
         updateObjective(job);
@@ -39,6 +40,7 @@
     auto& job = m_jobs[command.job.id];
     job.spec = command.job;
     job.submittedAt = command.submittedAt;
+    job.customer = m_customerUses.numberOf(job.spec.customer);
     updateObjective(job);
     updateRemaining(job);
     m_openJobs.insert(command.job.id);
@@ -338,6 +340,12 @@
     });
 }
 
+CustomerUse JobStore::useOfCustomer(const std::string& name) const
+{
+    auto number = m_customerUses.findNumber(name);
+    return number == noCustomer ? CustomerUse {} : m_customerUses.use(number);
+}
+
 std::size_t JobStore::unstartedJobs(const std::string& key) const
 {
     auto found = m_unstartedCounts.find(key);
--- a/src/jobs/JobStoreIndexes.cpp
+++ b/src/jobs/JobStoreIndexes.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-std::optional<Resources> minStartableDemand(const JobState& job)
+std::optional<MinDemand> minStartableDemand(const JobState& job)
 {
-    std::optional<Resources> minDemand;
+    std::optional<MinDemand> minDemand;
     if (job.phase != JobPhase::Open)
         return minDemand;
     for (const auto& [occurrence, steps] : job.occurrences) {
@@ -25,7 +25,13 @@
                 || !isStepReady(job.spec.steps, steps, i))
                 continue;
             auto reserved = reservedBy(job.spec.steps[i]);
-            minDemand = minDemand ? componentwiseMin(*minDemand, reserved) : reserved;
+            const auto& quota = quotaDemandOf(job.spec.steps[i]);
+            if (!minDemand) {
+                minDemand = MinDemand { reserved, quota };
+                continue;
+            }
+            minDemand->reserved = componentwiseMin(minDemand->reserved, reserved);
+            minDemand->quota = componentwiseMin(minDemand->quota, quota);
         }
     }
     return minDemand;
@@ -61,7 +67,8 @@
     if (!minDemand)
         return;
     job.latestStart = dueTime(job) + job.objective - job.remaining;
-    m_startableJobs[job.spec.queue].insert({ isLongRunning(job), job.latestStart, job.spec.id, *minDemand });
+    m_startableJobs[job.spec.queue].insert({ isLongRunning(job), job.latestStart, job.spec.id,
+        minDemand->reserved, minDemand->quota, job.customer });
 }
 
 void JobStore::removeStartable(const JobState& job)
@@ -69,7 +76,7 @@
     auto found = m_startableJobs.find(job.spec.queue);
     if (found == m_startableJobs.end())
         return;
-    found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id, {} });
+    found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id });
     if (found->second.empty())
         m_startableJobs.erase(found);
 }
@@ -103,6 +110,7 @@
     allocation.runs.insert(run);
     allocation.reserved += reservedBy(step);
     allocation.longRunning += step.isLongRunning ? 1 : 0;
+    m_customerUses.addRun(findJob(run.task.job)->customer, step);
 }
 
 void JobStore::deallocate(const RunnerIncarnation& incarnation, const RunName& run)
@@ -113,6 +121,7 @@
     const auto& step = *findStep(run.task);
     found->second.reserved -= reservedBy(step);
     found->second.longRunning -= step.isLongRunning ? 1 : 0;
+    m_customerUses.removeRun(findJob(run.task.job)->customer, step);
     if (found->second.runs.empty())
         m_allocations.erase(found);
 }
@@ -130,12 +139,14 @@
 void JobStore::rebuildIndexes()
 {
     m_apiKeys = ApiKeyIndex(m_configuration.customers);
+    m_customerUses.setCustomers(m_configuration.customers);
     for (auto& [id, job] : m_jobs)
         indexJob(job);
 }
 
 void JobStore::indexJob(JobState& job)
 {
+    job.customer = m_customerUses.numberOf(job.spec.customer);
     if (job.phase == JobPhase::Open) {
         updateObjective(job);
         updateRemaining(job);
--- a/src/jobs/WaitReport.cpp
+++ b/src/jobs/WaitReport.cpp
@@ -17,38 +17,85 @@
     TaskName task;
 };
 
-/// The oldest waiting job of each pool.
-using OldestJobs = std::map<std::string, OldestJob>;
+/// The oldest waiting job of each pool, and of those that the limit of their customer holds back.
+using OldestJobs = std::map<std::pair<std::string, bool>, OldestJob>;
 
 using JobIterator = std::set<StartableJob>::const_iterator;
 
-void findOldest(const JobStore& store, const std::set<JobId>& starting, const QueueSettings& queue,
-    JobIterator next, JobIterator end, OldestJobs& oldest)
+/// @return whether the limit of the customer holds back a task, or the gang that it belongs to.
+bool isHeldBack(const QuotaLedger& quota, const JobState& job, const TaskName& task)
 {
-    for (std::size_t seen = 0; next != end && seen < maxExaminedJobs; ++next, ++seen) {
-        const auto* job = store.findJob(next->id);
-        auto& known = oldest[queue.service];
-        bool isOlder = known.job == nullptr || dueTime(*job) < dueTime(*known.job);
-        if (!isOlder || starting.count(next->id) != 0)
-            continue;
-        if (auto task = waitingTaskOf(*job))
-            known = { job, &queue, *task };
-    }
+    const auto& spec = job.spec.steps[task.step];
+    const auto& step = job.occurrences.at(task.occurrence)[task.step];
+    auto waiting = static_cast<std::int64_t>(step.tasks.size()) - step.done;
+    return !quota.fits(job.customer, quotaDemandOf(spec), spec.isGang ? waiting : 1);
 }
 
-OldestJobs findOldest(const JobStore& store, const std::set<JobId>& starting)
-{
-    OldestJobs oldest;
-    for (const auto& [key, jobs] : store.startableJobs()) {
-        const auto* queue = findQueue(store.configuration(), key);
-        if (queue == nullptr)
-            continue;
-        auto limited = jobs.lower_bound({ false, { std::numeric_limits<std::int64_t>::min() }, {}, {} });
-        findOldest(store, starting, *queue, jobs.begin(), limited, oldest);
-        findOldest(store, starting, *queue, limited, jobs.end(), oldest);
+/// Searches for the oldest waiting jobs.
+class OldestJobSearch {
+public:
+    OldestJobSearch(const JobStore& store, const std::vector<StartRun>& starts)
+        : m_store(store)
+        , m_quota(store.customerUses())
+    {
+        for (const auto& start : starts) {
+            m_starting.insert(start.run.task.job);
+            m_quota.add(
+                store.findJob(start.run.task.job)->customer, quotaDemandOf(*store.findStep(start.run.task)));
+        }
+    }
+
+    OldestJobs find()
+    {
+        for (const auto& [key, jobs] : m_store.startableJobs()) {
+            const auto* queue = findQueue(m_store.configuration(), key);
+            if (queue == nullptr)
+                continue;
+            auto limited = jobs.lower_bound({ false, { std::numeric_limits<std::int64_t>::min() }, {} });
+            examine(*queue, jobs.begin(), limited);
+            examine(*queue, limited, jobs.end());
+        }
+        return std::move(m_oldest);
+    }
+
+private:
+    void examine(const QueueSettings& queue, JobIterator next, JobIterator end)
+    {
+        std::size_t seen = 0;
+        std::size_t seenHeldBack = 0;
+        for (; next != end && seen < maxExaminedJobs; ++next) {
+            bool isHeldBack = !m_quota.fits(next->customer, next->minQuotaDemand, 1);
+            // Jobs of a customer at its limit must not hide those of others.
+            if ((isHeldBack ? seenHeldBack : seen)++ < maxExaminedJobs)
+                compare(queue, *next, isHeldBack);
+        }
     }
-    return oldest;
-}
+
+    void compare(const QueueSettings& queue, const StartableJob& startable, bool isHeld)
+    {
+        const auto* job = m_store.findJob(startable.id);
+        if (m_starting.count(startable.id) != 0
+            || (!isOlder(queue, *job, true) && !isOlder(queue, *job, false)))
+            return;
+        auto task = waitingTaskOf(*job);
+        if (!task)
+            return;
+        isHeld = isHeld || isHeldBack(m_quota, *job, *task);
+        if (isOlder(queue, *job, isHeld))
+            m_oldest[{ queue.service, isHeld }] = { job, &queue, *task };
+    }
+
+    bool isOlder(const QueueSettings& queue, const JobState& job, bool isHeld) const
+    {
+        auto known = m_oldest.find({ queue.service, isHeld });
+        return known == m_oldest.end() || dueTime(job) < dueTime(*known->second.job);
+    }
+
+    const JobStore& m_store;
+    QuotaLedger m_quota;
+    std::set<JobId> m_starting; ///< Jobs of which the plan starts a task.
+    OldestJobs m_oldest;
+};
 
 /// Counts the runners of a pool by the reason for which they can't take a task.
 class ReasonCounter {
@@ -139,6 +186,8 @@
         return "failedThere";
     case WaitReason::NoAdvice:
         return "noAdvice";
+    case WaitReason::Quota:
+        return "quota";
     }
     return "";
 }
@@ -164,17 +213,35 @@
     return first;
 }
 
+namespace {
+
+/// Adds the figures of the job's customer.
+void addCustomer(
+    const JobStore& store, const std::vector<StartRun>& starts, const JobState& job, PoolWait& wait)
+{
+    if (job.customer == noCustomer)
+        return;
+    wait.customer = job.spec.customer;
+    wait.customerRunning = store.customerUses().use(job.customer).running;
+    wait.customerLimit = store.customerUses().settings(job.customer).limit;
+    for (const auto& start : starts) {
+        if (store.findJob(start.run.task.job)->customer == job.customer)
+            wait.customerRunning += quotaDemandOf(*store.findStep(start.run.task));
+    }
+}
+
+} // namespace
+
 std::vector<PoolWait> findPoolWaits(const JobStore& store, const std::vector<PoolRunner>& runners,
-    const std::set<JobId>& starting, Millis wallNow, const PlacementHints& hints, const AdviceCheck& advice)
+    const std::vector<StartRun>& starts, Millis wallNow, const PlacementHints& hints,
+    const AdviceCheck& advice)
 {
     std::vector<PoolWait> waits;
-    for (const auto& [pool, oldest] : findOldest(store, starting)) {
-        if (oldest.job == nullptr)
-            continue;
+    for (const auto& [key, oldest] : OldestJobSearch(store, starts).find()) {
         const auto& spec = oldest.job->spec.steps[oldest.task.step];
         const auto& step = oldest.job->occurrences.at(oldest.task.occurrence)[oldest.task.step];
         PoolWait wait;
-        wait.pool = pool;
+        wait.pool = key.first;
         wait.task = oldest.task;
         wait.tasksWaiting = static_cast<std::uint32_t>(step.tasks.size()) - step.done;
         wait.demand = reservedBy(spec);
@@ -182,6 +249,8 @@
         wait.lateness = latenessOf(*oldest.job, wallNow);
         wait.age = wallNow - dueTime(*oldest.job);
         wait.runners = ReasonCounter(spec, oldest, hints, advice).count(runners);
+        wait.hold = key.second ? WaitReason::Quota : WaitReason::HasRoom;
+        addCustomer(store, starts, *oldest.job, wait);
         waits.push_back(std::move(wait));
     }
     return waits;
--- a/test/JobHistoryTest.cpp
+++ b/test/JobHistoryTest.cpp
@@ -1,6 +1,6 @@
 // Random histories over the real log, job state and JobMaster. They check that no task runs twice, no
 // accepted job is lost and the configuration never reverts.
-#include "JobKit.h"
+#include "CustomerKit.h"
 #include "JobSimulation.h"
 
 #include <catch2/catch.hpp>
@@ -66,11 +66,28 @@
     }
 }
 
-/// @param cancelsBefore whether jobs are also cancelled before their submissions arrive.
-void runHistory(std::uint64_t seed, bool cancelsBefore = false)
+/// What a history contains besides faults, jobs and new versions.
+struct HistoryOptions {
+    bool cancelsBefore = false; ///< Jobs are also cancelled before their submissions arrive.
+    bool hasCustomers = false; ///< The jobs are those of two customers whose limits change.
+};
+
+QueueConfiguration makeVersion(
+    JobSimulation& simulation, std::uint64_t version, const HistoryOptions& options)
+{
+    if (!options.hasCustomers)
+        return makeConfiguration(version, 4);
+    auto configuration = makeCustomerConfiguration({ "a", "b" }, version);
+    configuration.queues[0].attempts = 4;
+    for (auto& customer : configuration.customers)
+        customer.limit.cpuMilli = 2000 + 1000 * static_cast<std::int64_t>(simulation.below(2));
+    return configuration;
+}
+
+void runHistory(std::uint64_t seed, const HistoryOptions& options = {})
 {
     JobSimulation simulation(seed, replicas, runners);
-    simulation.configure(makeConfiguration(1, 4));
+    simulation.configure(makeVersion(simulation, 1, options));
     simulation.run(2500);
     std::int64_t now = 0;
     std::int64_t diskSafeAt = 0;
@@ -80,16 +97,21 @@
         for (std::uint64_t i = simulation.below(3) + 1; i > 0; --i) {
             auto second = makeStep(static_cast<std::uint32_t>(simulation.below(3)) + 1);
             second.after = { 0 };
-            simulation.submit(makeJob("job" + std::to_string(jobs++), { makeStep(2), second }));
+            auto job = makeJob("job" + std::to_string(jobs++), { makeStep(2), second });
+            if (options.hasCustomers) {
+                job.customer = jobs % 3 == 0 ? "a" : "b";
+                job.steps[0].isGang = simulation.below(3) == 0;
+            }
+            simulation.submit(job);
         }
         if (simulation.below(2) == 0) {
             // Two concurrent operators; the versions increase in uneven steps.
             version += 1 + simulation.below(3);
-            simulation.configure(makeConfiguration(version, 4));
+            simulation.configure(makeVersion(simulation, version, options));
             version += 1 + simulation.below(3);
-            simulation.configure(makeConfiguration(version, 4));
+            simulation.configure(makeVersion(simulation, version, options));
         }
-        if (cancelsBefore) {
+        if (options.cancelsBefore) {
             simulation.submitAfterCancellation(makeJob("late" + std::to_string(round), { makeStep(2) }),
                 static_cast<std::int64_t>(simulation.below(6000)));
         }
@@ -125,7 +147,17 @@
 {
     for (std::uint64_t seed = 1; seed <= 40; ++seed) {
         INFO("seed " << seed);
-        REQUIRE_NOTHROW(runHistory(seed, true));
+        REQUIRE_NOTHROW(runHistory(seed, { true, false }));
+    }
+}
+
+// Guards against customers that run more than their limit under changes of leader, lost runners and runs
+// whose runner is silent, and against jobs that wait forever after the limit was lowered.
+TEST_CASE("Random faults bring no customer above its limit", "[history][random][quota]")
+{
+    for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+        INFO("seed " << seed);
+        REQUIRE_NOTHROW(runHistory(seed, { false, true }));
     }
 }
 
--- a/test/JobSimulation.cpp
+++ b/test/JobSimulation.cpp
@@ -81,6 +81,8 @@
 
 void JobSimulation::submit(const JobSpec& job)
 {
+    if (!job.customer.empty())
+        m_specs[job.id] = job;
     auto submission = std::make_shared<Submission>();
     submission->command = SubmitJob { job, { m_now } };
     submission->job = job.id.text();
@@ -100,6 +102,10 @@
 
 void JobSimulation::configure(const QueueConfiguration& configuration)
 {
+    for (const auto& customer : configuration.customers) {
+        auto& highest = m_highestLimits[customer.name];
+        highest = std::max(highest, customer.limit.cpuMilli);
+    }
     auto submission = std::make_shared<Submission>();
     submission->command = AcceptConfiguration { configuration };
     trySubmission(submission);
@@ -259,6 +265,7 @@
 {
     checkRuns();
     checkJobs();
+    checkLimits();
 }
 
 void JobSimulation::checkRuns() const
@@ -280,6 +287,7 @@
             continue;
         ++leaders;
         checkConfiguration(replica->store());
+        checkUses(replica->store());
         for (const auto& id : m_accepted) {
             if (replica->store().findJob(id) == nullptr)
                 fail("job " + id + " was accepted and is unknown to the leader at " + std::to_string(m_now));
@@ -289,6 +297,37 @@
         fail("two replicas lead at " + std::to_string(m_now));
 }
 
+void JobSimulation::checkLimits() const
+{
+    std::map<std::string, std::int64_t> running;
+    for (const auto& runner : m_runners) {
+        for (const auto& work : runner->work) {
+            auto spec = m_specs.find(work.run.task.job);
+            if (spec != m_specs.end())
+                running[spec->second.customer] += spec->second.steps[work.run.task.step].demand.cpuMilli;
+        }
+    }
+    for (const auto& [customer, limit] : m_highestLimits) {
+        if (running[customer] > limit) {
+            fail("customer " + customer + " runs " + std::to_string(running[customer]) + " of "
+                + std::to_string(limit) + " at " + std::to_string(m_now));
+        }
+    }
+}
+
+void JobSimulation::checkUses(const JobStore& store) const
+{
+    std::map<std::string, Resources> running;
+    for (const auto& [incarnation, allocation] : store.allocations()) {
+        for (const auto& run : allocation.runs)
+            running[store.findJob(run.task.job)->spec.customer] += store.findStep(run.task)->demand;
+    }
+    for (const auto& [customer, limit] : m_highestLimits) {
+        if (!(store.useOfCustomer(customer).running == running[customer]))
+            fail("the sum of customer " + customer + " is wrong at " + std::to_string(m_now));
+    }
+}
+
 void JobSimulation::checkConfiguration(const JobStore& store) const
 {
     const auto& held = store.configuration();
--- a/test/JobSimulation.h
+++ b/test/JobSimulation.h
@@ -21,7 +21,8 @@
 /// ignored after a second. Messages are lost, delayed and duplicated. Checks these invariants after every
 /// step: no task has two concurrent runs; no task starts again after its completion was acknowledged; no
 /// accepted job is lost; a leader's configuration is at least as new as any accepted one and matches the
-/// document that was sent with its version.
+/// document that was sent with its version; what the runners run for a customer stays within the highest
+/// limit that any version gave it, and each replica's sum equals what its state lists as running.
 class JobSimulation {
 public:
     /// @param seed seed of all random choices.
@@ -102,6 +103,8 @@
     void checkRuns() const;
     void checkJobs() const;
     void checkConfiguration(const JobStore& store) const;
+    void checkLimits() const;
+    void checkUses(const JobStore& store) const;
 
     std::mt19937_64 m_random;
     std::int64_t m_now = 1000;
@@ -110,6 +113,8 @@
     std::vector<std::unique_ptr<Runner>> m_runners;
     std::set<std::string> m_accepted; ///< Jobs whose acceptance was confirmed to the client.
     std::set<JobId> m_cancelled; ///< Jobs whose cancellation was confirmed before they were submitted.
+    std::map<std::string, std::int64_t> m_highestLimits; ///< In thousandths of a core, by customer.
+    std::map<JobId, JobSpec> m_specs; ///< Jobs that were submitted for customers.
     std::uint64_t m_acceptedVersion = 0; ///< Highest configuration version whose acceptance was confirmed.
     std::set<TaskName> m_acknowledgedDone; ///< Tasks whose successful end was acknowledged to the runner.
     std::uint64_t m_startedRuns = 0;
--- a/test/platform/PlatformApiTest.cpp
+++ b/test/platform/PlatformApiTest.cpp
@@ -30,9 +30,11 @@
         start(false);
     }
 
-    ForwardedResponse call(const std::string& method, const std::string& target, const std::string& body = "")
+    ForwardedResponse call(const std::string& method, const std::string& target, const std::string& body = "",
+        const std::string& key = "")
     {
         ForwardedRequest request;
+        request.credential = key;
         request.method = method;
         request.host = "jobs.example";
         request.target = target;
@@ -55,6 +57,15 @@
         REQUIRE(m_node->waitFor([&] { return store().cancelledIds().isFull(); }));
     }
 
+    /// Brings a configuration into force.
+    void accept(const QueueConfiguration& configuration)
+    {
+        bool isCommitted = false;
+        m_node->node().master().request(AcceptConfiguration { configuration },
+            [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
+        REQUIRE(m_node->waitFor([&] { return isCommitted; }));
+    }
+
 private:
     void start(bool isFirstStart)
     {
@@ -65,10 +76,7 @@
             return;
         auto configuration = makeConfiguration();
         configuration.queues[0].key = "jobs.example/work/";
-        bool isCommitted = false;
-        m_node->node().master().request(AcceptConfiguration { configuration },
-            [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
-        REQUIRE(m_node->waitFor([&] { return isCommitted; }));
+        accept(configuration);
     }
 
     MemoryFileSystem m_files;
@@ -130,3 +138,25 @@
     REQUIRE(api.store().openJobs().size() == 1);
     REQUIRE(api.call("DELETE", jobPath).status == 200);
 }
+
+// Guards against a job that is accepted although its customer's limit never lets it run.
+TEST_CASE("A job beyond its customer's limit is refused at submission", "[platform][quota]")
+{
+    SingleApi api;
+    auto configuration = makeConfiguration(2);
+    configuration.queues[0].key = "jobs.example/work/";
+    configuration.queues[0].requiresKey = true;
+    CustomerSettings customer;
+    customer.name = "a";
+    customer.apiKeys = { "key-a" };
+    customer.limit.cpuMilli = 1000;
+    configuration.customers = { customer };
+    api.accept(configuration);
+    auto submit = [&](const std::string& target, const std::string& fields) {
+        auto body = R"({"spec":"text","steps":[{"cpu":600,"estimate_ms":900,)" + fields + "}]}";
+        return api.call("POST", target, body, "key-a").status;
+    };
+    REQUIRE(submit(jobPath, R"("count":2,"gang":true)") == 422);
+    REQUIRE(api.store().jobCount() == 0);
+    REQUIRE(submit(jobPath, R"("count":2)") == 200);
+}
