Place the tasks of a job in one data centre

Best fit spread the tasks of each job over all data centres.

Change: the first task of a finite job that starts determines the preferred data centre of the others; a bounded search for a runner there, the best fit elsewhere otherwise, so nothing waits for it.

--- a/include/celeryline/jobs/CandidateIndex.h
+++ b/include/celeryline/jobs/CandidateIndex.h
@@ -24,6 +24,7 @@
     std::string rack {}; ///< Empty if unknown.
     std::uint32_t failuresInARow = 0; ///< Tasks that failed there since the last success.
     bool takesOneTask = false; ///< It is on probation after many failed tasks.
+    std::string dataCentre {}; ///< Empty if unknown.
 };
 
 namespace detail {
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -37,10 +37,11 @@
 /// number of unplaceable jobs per queue is examined, so that a backlog doesn't slow down the leader.
 ///
 /// Placement is best fit, which keeps large gaps for large tasks. The tasks of a gang start together or not
-/// at all. A step whose tasks should share a rack goes to the rack with the tightest fit. A runner on which
-/// the task failed comes last, and is excluded for two seconds if the pool has another one. Second runs of
-/// slow tasks are placed after everything else. No start brings a customer above its limit; jobs of customers
-/// without room in it are skipped.
+/// at all. The tasks of a finite job share a data centre where capacity permits, so that the loss of one
+/// delays few jobs. A step whose tasks should share a rack goes to the rack with the tightest fit. A runner
+/// on which the task failed comes last, and is excluded for two seconds if the pool has another one. Second
+/// runs of slow tasks are placed after everything else. No start brings a customer above its limit; jobs of
+/// customers without room in it are skipped.
 /// @param store jobs and configuration.
 /// @param candidates runners that accept new tasks; the reservations of the starts are subtracted.
 /// @param wallNow wall time.
--- a/include/celeryline/jobs/TaskPlacer.h
+++ b/include/celeryline/jobs/TaskPlacer.h
@@ -66,6 +66,9 @@
     void withdrawStarts(
         const StepSpec& spec, std::size_t first, const std::vector<PlacementCandidate>& candidatesBefore);
 
+    /// @return the data centre in which a finite job has active runs; empty if there is none.
+    std::string dataCentreOf(const JobState& job) const;
+
     /// @return the failures of a task; null if it has none.
     const FailureTimes* failuresOf(const TaskName& name) const;
 
@@ -80,6 +83,9 @@
     /// By pool and required label.
     std::map<std::pair<std::string, std::string>, UnplaceableDemands> m_unplaceable;
     std::string m_rack; ///< Preferred rack of the current step; empty if it has none.
+    /// Preferred data centre of the current job; empty if it has none. A job needs all its tasks, so the loss
+    /// of a data centre then delays the jobs that run there and not nearly all jobs.
+    std::string m_dataCentre;
     bool m_needsAdvice = false; ///< Whether the current queue needs advice.
     CustomerNumber m_customer = noCustomer; ///< Customer of the current job.
     std::vector<StartRun> m_starts;
--- a/src/jobs/JobMasterPlan.cpp
+++ b/src/jobs/JobMasterPlan.cpp
@@ -54,6 +54,7 @@
     candidate.takesOneTask = m_trust.trust(report.incarnation) == WorkerTrust::Probation;
     candidate.failuresInARow = m_trust.failuresInARow(report.incarnation);
     candidate.rack = report.rack;
+    candidate.dataCentre = report.dataCentre;
     candidate.incarnation = report.incarnation;
     candidate.service = report.service;
     candidate.labels = report.labels;
--- a/src/jobs/TaskPlacer.cpp
+++ b/src/jobs/TaskPlacer.cpp
@@ -8,6 +8,9 @@
 namespace celeryline {
 namespace {
 
+/// Limit on eligible runners that are examined in search of one in the job's data centre.
+constexpr int maxDataCentreSearch = 16;
+
 /// @return how many tasks of a step wait.
 std::int64_t waitingTasks(const StepState& step)
 {
@@ -87,6 +90,7 @@
         return true;
     m_needsAdvice = queue.needsAdvice;
     m_customer = job.customer;
+    m_dataCentre = dataCentreOf(job);
     auto startsBefore = m_starts.size();
     bool hasSearched = false;
     for (const auto& [occurrence, steps] : job.occurrences) {
@@ -127,6 +131,7 @@
     if (!m_quota.fits(m_customer, quotaDemandOf(*spec), 1))
         return;
     m_rack.clear();
+    m_dataCentre.clear();
     auto onRunner = tasksByRunner(job->occurrences.at(name.occurrence)[name.step]);
     for (const auto& start : m_starts) {
         if (isSameStep(start.run.task, name))
@@ -206,6 +211,8 @@
 void TaskPlacer::addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate)
 {
     m_starts.push_back({ run, candidate.incarnation });
+    if (m_dataCentre.empty() && !spec.isLongRunning)
+        m_dataCentre = candidate.dataCentre;
     m_candidates.reserve(candidate, spec);
     m_quota.add(m_customer, quotaDemandOf(spec));
 }
@@ -220,6 +227,23 @@
         m_candidates.restore(*before);
 }
 
+std::string TaskPlacer::dataCentreOf(const JobState& job) const
+{
+    for (const auto& [occurrence, steps] : job.occurrences) {
+        for (std::size_t i = 0; i < steps.size(); ++i) {
+            if (steps[i].active == 0 || job.spec.steps[i].isLongRunning)
+                continue;
+            for (const auto& task : steps[i].tasks) {
+                const auto* candidate
+                    = task.runs.empty() ? nullptr : m_candidates.find(task.runs.front().incarnation.runner);
+                if (candidate != nullptr)
+                    return candidate->dataCentre;
+            }
+        }
+    }
+    return "";
+}
+
 const FailureTimes* TaskPlacer::failuresOf(const TaskName& name) const
 {
     auto found = m_hints.failedOn.find(name);
@@ -230,6 +254,8 @@
     const CandidatePool& pool, const std::map<std::string, std::uint32_t>& onRunner) const
 {
     const PlacementCandidate* best = nullptr;
+    const PlacementCandidate* elsewhere = nullptr; // The best fit outside the job's data centre.
+    int examined = 0;
     const auto* failures = failuresOf(name);
     using Key = std::tuple<bool, std::uint32_t, bool, bool, std::int64_t, std::int64_t>;
     Key bestKey;
@@ -246,8 +272,15 @@
         bool hasFailed = hasFailedOn(failures, candidate->incarnation.runner);
         if (hasFailed && mustAvoid(*failures, m_hints.now, spec, candidate->incarnation.runner, pool))
             continue;
-        if (isFirstBest && !hasFailed && candidate->failuresInARow == 0)
-            return candidate;
+        if (isFirstBest && !hasFailed && candidate->failuresInARow == 0) {
+            if (m_dataCentre.empty() || candidate->dataCentre == m_dataCentre)
+                return candidate;
+            if (elsewhere == nullptr)
+                elsewhere = candidate;
+            if (++examined == maxDataCentreSearch)
+                return elsewhere;
+            continue;
+        }
         bool isAwayFromData = !spec.dataRack.empty() && !hasLabel(*candidate, spec.dataRack);
         // Long-running tasks are packed on few runners, so that the machines of the others can move to
         // another pool.
@@ -260,7 +293,7 @@
             bestKey = key;
         }
     }
-    return best;
+    return elsewhere != nullptr ? elsewhere : best;
 }
 
 } // namespace celeryline
