--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -22,9 +22,9 @@
     """One run of a scenario."""
 
     def __init__(self, name, seed, controls=3, tolerance=1, entries=2, runners=4, clients=6,
-                 report_delay=0.0):
+                 report_delay=0.0, request_limits=None):
         self.random = random.Random(seed)
-        self.site = Site(name, seed, controls, entries, tolerance)
+        self.site = Site(name, seed, controls, entries, tolerance, request_limits)
         self.ledger = Ledger(self.site.now)
         self.notes = []
         self.provider = Provider(self.site, self.ledger)
--- a/test/platform_rig/sites.py
+++ b/test/platform_rig/sites.py
@@ -57,9 +57,10 @@
 class Site:
     """The machines of a run. A slot is the position of a control machine; a replacement takes over its slot."""
 
-    def __init__(self, name, seed, controls=3, entries=2, tolerance=1):
+    def __init__(self, name, seed, controls=3, entries=2, tolerance=1, request_limits=None):
         self.random = random.Random(seed)
         self.tolerance = tolerance
+        self.request_limits = request_limits
         self.run_dir = os.path.join(BUILD, "platform-faults", f"{name}-{seed}")
         shutil.rmtree(self.run_dir, ignore_errors=True)
         os.makedirs(self.run_dir)
@@ -113,6 +114,8 @@
             "config_mode": "highest", "orders": "heartbeat",
             "cloud_api": {"addr": self.provider_address, "rate_per_s": 64.0, "duties": [], "duty_per_s": 64.0},
         }
+        if self.request_limits:
+            settings["request_limits"] = self.request_limits
         with open(machine.settings_path, "w") as out:
             json.dump(settings, out, indent=1)
 
