Limit what clients make a process hold

Change: a byte budget for a process (ByteBudget), reserved before a buffer grows, for the copies that handling makes and for responses, and released however a request ends; a part of it is reserved for control traffic, and a part for small requests. A guard for each listener (ConnectionGuard, ConnectionTable) limits connections, whole times of bodies and responses, header bytes and pipelined bytes. It closes what makes no progress when others need its place or memory, and refuses the newest otherwise. JSON texts are measured before they are parsed (JsonShape). A leader reserves memory for forwarded requests (BudgetedHandler). Kernel buffers of connections are bounded, free memory is returned after a crowd, and the port of the metrics has 16 places. Limits are read from "request_limits"; docs/platform.md has the defaults. Refusals are counted by reason and logged as sums, once a second.

The processor time under load was not measured.

--- a/test/platform/HttpListenerTest.cpp
+++ b/test/platform/HttpListenerTest.cpp
@@ -33,8 +33,10 @@
     HeaderNames headers;
     Metrics metrics;
     std::string credential; ///< Of the last request.
-    HttpListener listener { timer, io.provider->getNetwork(), headers, metrics, address.text(),
-        RequestOrigin::Caller,
+    RequestLimits limits;
+    ByteBudget budget { limits.bufferedBytes, limits.reservedControlBytes };
+    HttpListener listener { timer, io.provider->getNetwork(), headers, metrics, budget,
+        listenerLimits(limits, ListenerKind::Callers), address.text(), RequestOrigin::Caller,
         [this](const ForwardedRequest& request, Millis) -> kj::Promise<ForwardedResponse> {
             credential = request.credential;
             ForwardedResponse response;
