Send idle machines to the standby pool and bring them back

Cause: planStandby() was not called, so machines that are idle for whole rotations stayed on.

Change: MachineMaster calls it after the moves between pools and gives its moves the usual way (drain, committed order). The demand follows from the committed state, so replicas that don't lead observe it once a second, and a new leader knows the rotation; it sends nothing for 5 s after a take-over, a loss of machines or a return, nor while the provider is silent. Machines due in a wave, and kinds that the standby pool refuses, aren't sent. Once a rotation is known, standby machines are no longer switched on for steps that reuse the cores of those before them. The event standby-balance and four metrics show machines, reserve and the reason why none is sent. It takes effect only with a standby pool in the configuration; StandbyPlanOptions::isEnabled switches it off.

--- a/include/celeryline/control/ControlNode.h
+++ b/include/celeryline/control/ControlNode.h
@@ -81,6 +81,9 @@
     /// @return false if one of its tasks fits on no machine, so that the job could never complete.
     bool couldHold(const JobSpec& job) const { return !m_machines || m_machines->couldEverFit(job); }
 
+    /// @return the controller of machines; null if this node manages none.
+    const MachineMaster* machines() const { return m_machines.get(); }
+
     /// @return the recent lag of this process, which approximates how long incoming messages wait.
     Millis lag() const { return m_lag.recent(m_clock.now()); }
 
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -6,6 +6,7 @@
 #include "celeryline/machines/ArrivalRate.h"
 #include "celeryline/machines/MachineProvider.h"
 #include "celeryline/machines/PoolPlan.h"
+#include "celeryline/machines/StandbyPlan.h"
 #include "celeryline/machines/UpkeepPlan.h"
 
 #include <functional>
@@ -39,6 +40,7 @@
     Millis advanceInterval { 50 };
     Millis minPoolStay { 3000 }; ///< Minimum time that a machine stays in a pool after a move.
     PoolPlanOptions poolPlan;
+    StandbyPlanOptions standbyPlan;
 };
 
 /// Drains machines and orders their moves and upkeep. Active on the leader only. Single-threaded.
@@ -67,9 +69,16 @@
     /// first list.
     bool couldEverFit(const JobSpec& job) const;
 
-    /// Runs due work. Call it every few tens of milliseconds.
+    /// Runs due work. Call it every few tens of milliseconds, on every replica: one that doesn't lead follows
+    /// the demand, so that the forecast doesn't begin anew with each leader.
     void tick();
 
+    /// @return the newest plan of machines on standby; empty while this instance isn't the leader.
+    const StandbyPlan& standbyPlan() const { return m_standbyPlan; }
+
+    /// @return the number of machines in standby pools.
+    std::size_t standbyMachines() const;
+
 private:
     enum class Stage : std::uint8_t { Draining, Committing, Ordered, Down };
 
@@ -105,6 +114,24 @@
     bool isMachineArriving(const std::string& pool) const;
     bool isStandbyPool(const std::string& pool) const;
 
+    bool usesStandbyPool() const;
+    std::string standbyPool() const;
+    void observeDemand(const std::vector<PoolDemand>& demands);
+    void noteNamed(const JobSpec& job);
+    void followDemand();
+    void planStandby(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
+    StandbyHold standbyHold() const;
+    std::vector<StandbyCandidate> standbyCandidates(const std::vector<PoolMachine>& machines);
+    StandbyCandidate standbyCandidate(const PoolMachine& machine) const;
+    bool isNamedKind(const MachineInfo& info) const;
+    const RunnerState* runnerStateOf(const std::string& machine) const;
+    bool isSilent(const std::string& machine) const;
+    void noteSilentMachines(const std::vector<PoolMachine>& machines);
+    void noteLostMachines(const std::map<std::string, Machine>& listed);
+    bool isDueInWave(const std::string& machine) const;
+    std::int64_t upkeepMilliCores() const;
+    void logStandbyPlan();
+
     void advanceOperations();
     void advanceOperation(const std::string& machine, Operation& operation);
     void drain(const std::string& machine, Operation& operation);
@@ -173,6 +200,19 @@
     std::map<std::string, Millis> m_pausedUntil;
     Millis m_nextPauseAt; ///< Earliest time to pause the next machine of a wave.
     Millis m_lastAnswerAt; ///< When the provider last answered; at first the start of the term.
+    DemandHistory m_demandHistory; ///< Kept across terms, as it follows from the committed state.
+    Millis m_nextObservationAt;
+    /// Data racks and labels that jobs named, and when last. The empty label stands for accelerators.
+    std::map<std::string, Millis> m_namedRacks;
+    std::map<std::string, Millis> m_namedLabels;
+    Millis m_termStartedAt;
+    std::optional<Millis> m_machineLostAt; ///< When a machine of this term was last lost.
+    std::optional<Millis> m_returnedAt; ///< When a machine last left a standby pool in this term.
+    std::set<std::string> m_silentMachines;
+    std::set<MachineKind> m_kindsRefusedStandby; ///< Kinds that the standby pool refused in this term.
+    Millis m_nextSendAt;
+    Millis m_nextStandbyLogAt;
+    StandbyPlan m_standbyPlan;
     bool m_isProviderLost = false; ///< Whether "provider-lost" was logged without "provider-found" since.
 };
 
--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -54,6 +54,9 @@
     Millis horizon { 2000 }; ///< Time in which a backlog should be processed.
     double usableFraction = 0.85; ///< Fraction of a machine that tasks of mixed sizes can fill.
     bool usesStandby = true; ///< Whether standby machines may be moved.
+    /// Whether standby machines may be moved for steps that depend on unfinished steps. Such steps mostly run
+    /// on the cores of those before them, so machines that are switched on for them stay idle.
+    bool usesStandbyForDependents = true;
 };
 
 /// @param demand demand of the pool's jobs.
@@ -61,6 +64,11 @@
 /// @return target capacity of the pool in thousandths of a core.
 std::int64_t wantedMilliCores(const PoolDemand& demand, const PoolPlanOptions& options);
 
+/// @param demand demand of the pool's jobs.
+/// @param options settings.
+/// @return wantedMilliCores() without the steps that depend on unfinished steps.
+std::int64_t wantedWithoutDependents(PoolDemand demand, const PoolPlanOptions& options);
+
 /// Plans moves for a load in which the queues peak in turn at several times their mean. Pools with a shortage
 /// get machines from pools with a surplus, idle machines first, then standby machines. The pool with the
 /// largest shortage is served first. A shortage for steps that are ready also takes machines that another
--- a/include/celeryline/machines/StandbyPlan.h
+++ b/include/celeryline/machines/StandbyPlan.h
@@ -5,8 +5,8 @@
 #include "celeryline/machines/DemandHistory.h"
 #include "celeryline/machines/PoolPlan.h"
 
+#include <array>
 #include <cstdint>
-#include <deque>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,6 +27,10 @@
     Returned ///< A machine left the standby pool lately.
 };
 
+inline constexpr std::array<StandbyHold, 10> allStandbyHolds { StandbyHold::None, StandbyHold::NoPool,
+    StandbyHold::Settling, StandbyHold::Learning, StandbyHold::MachinesLost, StandbyHold::ProviderLost,
+    StandbyHold::LateWork, StandbyHold::WaitingTask, StandbyHold::Shortage, StandbyHold::Returned };
+
 /// @return the name of a reason in logs and metrics.
 const char* standbyHoldName(StandbyHold hold);
 
@@ -87,7 +91,7 @@
 
 /// @param demand demand of a pool.
 /// @param options settings.
-/// @return wantedMilliCores() of its finite work.
+/// @return wantedWithoutDependents() of its finite work.
 std::int64_t finiteMilliCores(PoolDemand demand, const PoolPlanOptions& options);
 
 } // namespace celeryline
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -32,6 +32,12 @@
     m_nextAdvanceAt = {};
     m_refusedUntil.clear();
     m_pausedUntil.clear();
+    m_termStartedAt = m_clock().steady;
+    m_machineLostAt.reset();
+    m_returnedAt.reset();
+    m_silentMachines.clear();
+    m_kindsRefusedStandby.clear();
+    m_standbyPlan = {};
     restoreEarlierOrders();
     for (const auto& [number, wave] : m_store.waves()) {
         for (const auto& machine : wave.begun) {
@@ -44,8 +50,10 @@
 
 void MachineMaster::tick()
 {
-    if (!m_log.isLeading() || m_term != m_log.term())
+    if (!m_log.isLeading() || m_term != m_log.term()) {
+        followDemand();
         return;
+    }
     auto now = m_clock().steady;
     bool isOverdue = now >= m_listRequestedAt + m_options.listTimeout;
     if (now >= m_nextListAt && (!m_isListing || isOverdue))
@@ -163,6 +171,7 @@
         machine.inPoolSince = isSamePool ? found->second.inPoolSince : firstSeen;
         known[info.machine] = std::move(machine);
     }
+    noteLostMachines(known);
     m_machines = std::move(known);
     m_listedAt = m_clock().steady;
     for (const auto& info : machines) {
@@ -181,12 +190,14 @@
     auto wanted = poolDemands();
     auto machines = poolMachines();
     logPoolBalance(wanted, machines);
+    observeDemand(wanted);
     if (isProviderUnavailable()) {
         logProviderLost();
     } else {
         planWaves(wanted, machines);
         planMoves(wanted, machines);
     }
+    planStandby(wanted, machines);
     updateReservedRunners();
 }
 
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -263,8 +263,14 @@
     bool isOver = outcome == MachineOutcome::Done || outcome == MachineOutcome::Refused;
     if (operation.wave != 0 && isOver)
         m_log.propose({ NoteUpkeep { operation.wave, machine, true, {} } }, [](bool) {});
-    if (outcome == MachineOutcome::Refused && operation.wave == 0)
+    bool isRefusedMove = outcome == MachineOutcome::Refused && operation.wave == 0;
+    if (isRefusedMove && isStandbyPool(operation.pool)) {
+        // The machine stays available to other pools.
+        if (known != m_machines.end())
+            m_kindsRefusedStandby.insert({ known->second.info.capacity, known->second.info.labels });
+    } else if (isRefusedMove) {
         m_refusedUntil[machine] = m_clock().steady + refusalBackoff;
+    }
     if (outcome == MachineOutcome::Busy)
         m_pausedUntil[machine] = m_clock().steady + busyBackoff;
     if (outcome == MachineOutcome::Busy) {
--- a/src/machines/MachineMasterPools.cpp
+++ b/src/machines/MachineMasterPools.cpp
@@ -66,6 +66,7 @@
         const auto* queue = findQueue(m_store.configuration(), job.spec.queue);
         if (queue == nullptr || job.occurrences.empty())
             continue;
+        noteNamed(job.spec);
         auto& demand = byPool[queue->service];
         demand.minMachines = std::max<std::uint32_t>(1, demand.minMachines);
         auto lateness = latenessOf(job, wallNow);
@@ -178,7 +179,12 @@
         auto milliCores = known->second.info.capacity.cpuMilli;
         free.push_back({ name, operation.pool, milliCores, isStandbyPool(operation.pool), true, true, 0 });
     }
-    for (const auto& move : planPoolMoves(demands, free, m_options.poolPlan))
+    auto options = m_options.poolPlan;
+    // Once idle machines are sent to standby, switching some on for steps that reuse cores would bring back
+    // what was idle.
+    bool maySend = usesStandbyPool() && m_demandHistory.isComplete(m_clock().steady);
+    options.usesStandbyForDependents = options.usesStandbyForDependents && !maySend;
+    for (const auto& move : planPoolMoves(demands, free, options))
         m_operations[move.machine] = { 0, move.pool, Stage::Draining, m_clock().steady };
 }
 
--- a/src/machines/PoolPlan.cpp
+++ b/src/machines/PoolPlan.cpp
@@ -119,11 +119,15 @@
         moves.begin(), moves.end(), [&](const MachineMove& move) { return move.pool == pool; });
 }
 
-/// @return wantedMilliCores() without the steps that depend on unfinished steps.
-std::int64_t wantedWithoutDependents(PoolDemand demand, const PoolPlanOptions& options)
+/// Removes the standby machines from the donors.
+/// @return the standby machines.
+std::vector<const PoolMachine*> takeStandby(std::vector<const PoolMachine*>& donors)
 {
-    demand.backlog -= demand.dependentBacklog;
-    return wantedMilliCores(demand, options);
+    auto firstStandby = std::stable_partition(
+        donors.begin(), donors.end(), [](const PoolMachine* donor) { return !donor->isStandby; });
+    std::vector<const PoolMachine*> standby(firstStandby, donors.end());
+    donors.erase(firstStandby, donors.end());
+    return standby;
 }
 
 } // namespace
@@ -135,18 +139,30 @@
         static_cast<double>(active + demand.longRunning) / options.usableFraction);
 }
 
+std::int64_t wantedWithoutDependents(PoolDemand demand, const PoolPlanOptions& options)
+{
+    demand.backlog -= demand.dependentBacklog;
+    return wantedMilliCores(demand, options);
+}
+
 std::vector<MachineMove> planPoolMoves(const std::vector<PoolDemand>& demands,
     const std::vector<PoolMachine>& machines, const PoolPlanOptions& options)
 {
     auto balances = balancesOf(demands, machines, options);
     auto donors = donorsOf(machines);
     std::vector<MachineMove> moves;
+    std::vector<const PoolMachine*> standby;
+    if (!options.usesStandbyForDependents)
+        standby = takeStandby(donors);
     assignMachines(donors, balances, options, moves);
+    donors.insert(donors.end(), standby.begin(), standby.end());
     for (const auto& demand : demands)
         balances[demand.pool].wanted = wantedWithoutDependents(demand, options);
     assignMachines(donors, balances, options, moves);
     for (const auto& demand : demands) {
-        balances[demand.pool].wanted = wantedMilliCores(demand, options);
+        balances[demand.pool].wanted = options.usesStandbyForDependents
+            ? wantedMilliCores(demand, options)
+            : wantedWithoutDependents(demand, options);
         balances[demand.pool].needsMachine = demand.needsMachine && !hasMoveTo(moves, demand.pool);
     }
     assignMachines(donors, balances, options, moves);
--- a/src/machines/StandbyPlan.cpp
+++ b/src/machines/StandbyPlan.cpp
@@ -71,7 +71,7 @@
         state.current = finiteMilliCores(demand, options.poolPlan);
         state.predicted = predict(input, demand.pool, state.current);
         state.minMachines = demand.minMachines;
-        state.pinned = -(wantedMilliCores(demand, options.poolPlan) - state.current);
+        state.pinned = -(wantedWithoutDependents(demand, options.poolPlan) - state.current);
     }
     for (const auto& machine : input.machines) {
         if (machine.base.isStandby)
@@ -270,7 +270,7 @@
 std::int64_t finiteMilliCores(PoolDemand demand, const PoolPlanOptions& options)
 {
     demand.longRunning = 0;
-    return wantedMilliCores(demand, options);
+    return wantedWithoutDependents(demand, options);
 }
 
 StandbyPlan planStandby(const StandbyPlanInput& input, const StandbyPlanOptions& options)
--- a/test/PoolPlanTest.cpp
+++ b/test/PoolPlanTest.cpp
@@ -170,3 +170,23 @@
     beginning.dependentBacklog = beginning.backlog;
     REQUIRE(planPoolMoves({ beginning, demand("b", 0) }, twoPools(6), {}).size() == 5);
 }
+
+// Load: the same, on a site that sends idle machines to standby. Machines that are switched on for steps that
+// reuse cores stay idle.
+TEST_CASE("Standby machines are not switched on for dependent steps if that is excluded", "[pools]")
+{
+    auto beginning = demand("a", 0);
+    beginning.inUse = 5 * milliCores;
+    beginning.backlog = 4 * milliCores * 2;
+    beginning.dependentBacklog = beginning.backlog;
+    auto machines = twoPools(6);
+    for (auto& each : machines)
+        each.isStandby = each.pool == "b";
+    PoolPlanOptions options;
+    REQUIRE(planPoolMoves({ beginning }, machines, options).size() == 5);
+    options.usesStandbyForDependents = false;
+    REQUIRE(planPoolMoves({ beginning }, machines, options).empty());
+    // Steps that are ready still get them.
+    beginning.dependentBacklog = 0;
+    REQUIRE(planPoolMoves({ beginning }, machines, options).size() == 5);
+}
--- a/test/ProgressSimulation.h
+++ b/test/ProgressSimulation.h
@@ -70,6 +70,8 @@
     const JobStore& store() const { return m_store; }
     std::uint64_t startedRuns() const { return m_startedRuns; }
 
+    bool sendsToStandby = true; ///< Whether idle machines may go to a standby pool. Set it before start().
+
     /// @return the first violated rule and the state at that time; empty if none was violated.
     const std::string& violation() const { return m_violation; }
     /// @return accepted jobs that are still open, except long-running ones and those that always fail.
--- a/test/ProgressSimulationParts.h
+++ b/test/ProgressSimulationParts.h
@@ -16,7 +16,7 @@
         : m_simulation(simulation)
         , m_number(number)
         , master({}, simulation.m_store, *this, [&simulation] { return simulation.moment(); })
-        , machines(options(number), master, simulation.m_store, *this, providerOf(simulation),
+        , machines(options(simulation, number), master, simulation.m_store, *this, providerOf(simulation),
               [&simulation] { return simulation.moment(); })
     {
     }
@@ -64,9 +64,10 @@
         std::function<void(bool)> done;
     };
 
-    static MachineMasterOptions options(int number)
+    static MachineMasterOptions options(const ProgressSimulation& simulation, int number)
     {
         MachineMasterOptions made;
+        made.standbyPlan.isEnabled = simulation.sendsToStandby;
         made.holder = "c" + std::to_string(number);
         return made;
     }
