--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -14,6 +14,14 @@
 constexpr std::size_t maxLoggedMalformed = 16;
 constexpr std::size_t maxLoggedAddressLength = 64; ///< In bytes.
 
+/// @return whether a response says that a request with effects was not executed because of its key, its route
+/// or the owner of its job. That holds for the last attempt only: an earlier one may have been executed under
+/// the configuration of that time.
+bool deniesAccess(const ForwardedRequest& request, std::uint16_t status)
+{
+    return request.method != "GET" && (status == 401 || status == 403 || status == 404 || status == 409);
+}
+
 } // namespace
 
 ControlLink& ControlLinks::to(const std::string& address)
@@ -107,6 +115,8 @@
         [this, pending, target](CallResult<ForwardedResponse>&& call) -> kj::Promise<ForwardedResponse> {
             if (call.hasResult && call.result.outcome == ForwardOutcome::Answered) {
                 onLeaderResponse(target);
+                if (pending->mayHaveRun && deniesAccess(pending->request, call.result.status))
+                    return makeUnansweredResponse(*pending);
                 return kj::mv(call.result);
             }
             bool isOutcomeUnknown = call.hasResult ? call.result.outcome == ForwardOutcome::Unknown
--- a/test/LeaderSearchTest.cpp
+++ b/test/LeaderSearchTest.cpp
@@ -208,6 +208,31 @@
     REQUIRE(control.forwarded == tries); // Refused requests aren't sent.
 }
 
+// Guards against status 401 for a job that an earlier attempt has submitted: its key was removed in the
+// meantime, and the caller would take it for not accepted.
+TEST_CASE("A request that may have been executed isn't reported as rejected", "[control]")
+{
+    const ReservedAddress reserved;
+    const auto& address = reserved.text();
+    EntryFixture entry({ address });
+    auto control = makeLeader(address);
+    control.response.status = 401;
+    ControlServer server(entry.timer(), entry.network(), address, control);
+    REQUIRE(entry.send("POST").response.status == 401);
+    auto sendAfterUnknownOutcome = [&entry](const std::string& method) {
+        return entry.client.forward(makeRequest(method), forwardTimeout, forwardTimeoutOnceSent, true)
+            .wait(entry.io.waitScope);
+    };
+    for (auto status : { 401, 403, 404, 409 }) {
+        control.response.status = static_cast<std::uint16_t>(status);
+        REQUIRE(sendAfterUnknownOutcome("POST").outcome == ForwardOutcome::Unknown);
+        REQUIRE(sendAfterUnknownOutcome("DELETE").outcome == ForwardOutcome::Unknown);
+        REQUIRE(sendAfterUnknownOutcome("GET").outcome == ForwardOutcome::Answered);
+    }
+    control.response.status = 200;
+    REQUIRE(sendAfterUnknownOutcome("POST").outcome == ForwardOutcome::Answered);
+}
+
 // Guards against a process that refuses requests or isn't ready although its leader responds.
 TEST_CASE("No request is refused while a leader responds", "[control]")
 {
