Limit the lists of a runner's report and the steps of a job

Cause: a report with 60,000 runs (1.9 MB) kept the leader busy for 0.4 to 0.8 s and 12 MB for each runner id; the steps of a job were all decoded before their number was checked.

--- a/test/platform/WireCodecTest.cpp
+++ b/test/platform/WireCodecTest.cpp
@@ -129,6 +129,32 @@
     REQUIRE_THROWS_AS(decodeHeartbeat("i-1", replaced(report, ".0.1.17", ".0.x.17"), wallNow), Error);
 }
 
+// Guards against lists that keep the leader from its other work, and that it holds for each runner.
+TEST_CASE("A heartbeat or job with very long lists is rejected", "[platform][limits]")
+{
+    auto repeated = [](const std::string& row, int count) {
+        std::string rows = row;
+        for (int i = 1; i < count; ++i)
+            rows += "," + row;
+        return "[" + rows + "]";
+    };
+    const std::string run = R"(["5c0e7a21d94b36f8.0.1.17",2])";
+    const std::string end = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done"])";
+    const std::string start
+        = R"({"service":"s","addr":"10.0.0.9:80","zone":"z","version":"v1","slots":8,"seq":4,)"
+          R"("born":1700000000000,"state":"ready","capacity":{"cpu":16000},)";
+    auto decode = [&](const char* field, const std::string& rows) {
+        return decodeHeartbeat("i-1", start + "\"" + field + "\":" + rows + "}", wallNow);
+    };
+    CHECK(decode("running", repeated(run, 20000)).running.size() == 20000);
+    CHECK(decode("ended", repeated(end, 20000)).ended.size() == 20000);
+    CHECK(decode("labels", repeated(R"("a")", 1000)).labels.size() == 1000);
+    CHECK_THROWS_AS(decode("running", repeated(run, 20001)), Error);
+    CHECK_THROWS_AS(decode("ended", repeated(end, 20001)), Error);
+    CHECK_THROWS_AS(decode("labels", repeated(R"("a")", 1001)), Error);
+    CHECK_THROWS_AS(decodeJob("id", "q", R"({"spec":"x","steps":)" + repeated("{}", 20001) + "}"), Error);
+}
+
 // Guards against an entry of another writer that is taken for a runner and gets tasks that never start.
 TEST_CASE("A heartbeat with a field of another type or out of range names no runner", "[platform]")
 {
