Drain machines with long-running tasks one after the other in a wave

Cause: one machine of a wave of 147 stayed late. A step's maxUnavailable admits few recalled tasks at once. They were recalled in turn from all machines that were being drained (each end of a run put its machine last), so that these became empty only near the end, and occupied the places of the wave while machines without long-running tasks waited. A recalled task also preferred a runner that had long-running tasks already, mostly one whose upkeep was still to come, and was recalled again there.

Change: recalls go to the machine with the fewest runs first. While other machines are due, no more machines of a pool with long-running tasks are drained together than its steps allow to be away (two at least). Long-running tasks prefer runners that are not due for upkeep (PlacementHints::dueForUpkeep).

--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace celeryline {
@@ -152,6 +153,10 @@
     /// @param runners their ids.
     void setReserved(std::set<std::string> runners);
 
+    /// Starts long-running tasks on other runners where possible.
+    /// @param runners ids of the runners whose machines are due for upkeep.
+    void setDueForUpkeep(std::set<std::string> runners) { m_hints.dueForUpkeep = std::move(runners); }
+
     /// @param runner id of a runner.
     /// @return its committed allocations.
     RunnerUse useOf(const std::string& runner) const;
--- a/include/celeryline/jobs/PlacementHints.h
+++ b/include/celeryline/jobs/PlacementHints.h
@@ -20,6 +20,9 @@
     /// Steady time of the last failure of a task, by task and runner.
     std::map<TaskName, FailureTimes> failedOn;
     Millis now; ///< Steady time.
+    /// Runners whose machines are due for upkeep. A long-running task that starts there must be recalled
+    /// soon.
+    std::set<std::string> dueForUpkeep;
 };
 
 /// The tickets of the advice service.
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -104,7 +104,9 @@
     void plan();
     void logPoolBalance(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
     void planWaves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
-    void planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& surplus);
+    void planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& surplus,
+        const std::vector<PoolDemand>& demands);
+    void updateDueRunners();
     bool checkAbsence(std::uint64_t wave, const std::string& machine);
     bool hasUpkeepBegun(const std::string& machine, const Operation& operation) const;
     void planMoves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
@@ -139,7 +141,10 @@
     /// from it. The list may be older than a move or an upkeep.
     std::vector<std::string> runnersOn(const std::string& machine) const;
     RunnerUse useOf(const std::string& machine) const;
-    void recallLongRunning(const RunnerUse& use);
+    /// Recalls the long-running tasks of the machines that are being drained. The step's limit admits only a
+    /// few at once, so those of the machine with the fewest runs come first: one machine after the other
+    /// becomes empty, instead of all of them at the end.
+    void recallLongRunning();
     void proposeOrder(const std::string& machine);
     void restoreEarlierOrders();
     Millis orderAppliedAt(const std::string& machine) const;
@@ -188,6 +193,7 @@
     std::map<std::string, Machine> m_machines;
     std::set<MachineKind> m_kinds; ///< Kinds of all machines listed in this term.
     std::map<std::string, Operation> m_operations; ///< By machine.
+    std::vector<RunnerUse> m_drained; ///< Use of the machines whose long-running tasks are to be recalled.
     std::optional<Millis> m_listedAt; ///< Steady time of the last list of this term.
     /// Machines with an operation or in a wave that the provider doesn't list: time of the first list without
     /// them.
--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -23,6 +23,8 @@
     std::int64_t arrivalRate = 0; ///< Average rate of submitted work, in thousandths of a core.
     /// Minimum number of machines that the limits of tasks per runner require.
     std::uint32_t minMachines = 0;
+    /// Number of long-running tasks that the limits of their steps allow to be unavailable at once.
+    std::uint32_t recallsAtOnce = 0;
     /// A task waits that fits no machine of the pool, and no machine is arriving.
     bool needsMachine = false;
 };
--- a/include/celeryline/machines/UpkeepPlan.h
+++ b/include/celeryline/machines/UpkeepPlan.h
@@ -28,10 +28,17 @@
     Millis timeLeft; ///< Time until the deadline of the wave.
     Millis timePerRound { 5000 }; ///< Time to drain a machine and carry out its upkeep.
     std::map<std::string, std::int64_t> spareMilliCores; ///< Surplus by pool, in thousandths of a core.
+    /// By pool: machines with long-running tasks that are being drained.
+    std::map<std::string, std::uint32_t> drainingLongRunning;
+    /// By pool: number of long-running tasks that can be recalled at once.
+    std::map<std::string, std::uint32_t> recallsAtOnce;
 };
 
 /// Selects machines of pools with a surplus, those that take longest to drain first. When the deadline is
-/// near, selects machines of other pools too, those with the least in use first.
+/// near, selects machines of other pools too, those with the least in use first. Of the machines of a pool
+/// with long-running tasks, no more are drained together than tasks can be recalled at once, as long as
+/// others are due: otherwise they would occupy all places while the upkeep of the others, which takes no
+/// recall, waits.
 /// @param due machines whose upkeep is still to be done.
 /// @param input state of the wave.
 /// @return names of the machines to begin with.
--- a/src/jobs/TaskPlacer.cpp
+++ b/src/jobs/TaskPlacer.cpp
@@ -257,7 +257,7 @@
     const PlacementCandidate* elsewhere = nullptr; // The best fit outside the job's data centre.
     int examined = 0;
     const auto* failures = failuresOf(name);
-    using Key = std::tuple<bool, std::uint32_t, bool, bool, std::int64_t, std::int64_t>;
+    using Key = std::tuple<bool, std::uint32_t, bool, bool, bool, std::int64_t, std::int64_t>;
     Key bestKey;
     // Candidates are sorted by free CPU, so the first eligible one is the best fit.
     bool isFirstBest = !spec.isLongRunning && spec.dataRack.empty() && m_rack.empty();
@@ -286,7 +286,8 @@
         // another pool.
         bool isUnused = spec.isLongRunning && candidate->longRunning == 0;
         bool isOffRack = !m_rack.empty() && candidate->rack != m_rack;
-        Key key { hasFailed, candidate->failuresInARow, isAwayFromData || isUnused, isOffRack,
+        bool isDue = spec.isLongRunning && m_hints.dueForUpkeep.count(candidate->incarnation.runner) != 0;
+        Key key { hasFailed, candidate->failuresInARow, isDue, isAwayFromData || isUnused, isOffRack,
             spec.isLongRunning ? tasksHere : 0, candidate->free.cpuMilli };
         if (best == nullptr || key < bestKey) {
             best = candidate;
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -3,6 +3,7 @@
 #include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace celeryline {
 namespace {
@@ -60,6 +61,7 @@
         if (found != m_operations.end())
             advanceOperation(name, found->second);
     }
+    recallLongRunning();
 }
 
 void MachineMaster::advanceOperation(const std::string& machine, Operation& operation)
@@ -123,7 +125,7 @@
     } else if (shouldPause(machine, operation, use)) {
         pause(machine, operation);
     } else {
-        recallLongRunning(use);
+        m_drained.push_back(std::move(use));
     }
 }
 
@@ -199,10 +201,15 @@
     updateReservedRunners();
 }
 
-void MachineMaster::recallLongRunning(const RunnerUse& use)
+void MachineMaster::recallLongRunning()
 {
-    for (const auto& run : use.longRunning)
-        m_jobs.recall(run);
+    auto drained = std::exchange(m_drained, {});
+    std::stable_sort(drained.begin(), drained.end(),
+        [](const RunnerUse& a, const RunnerUse& b) { return a.runs < b.runs; });
+    for (const auto& use : drained) {
+        for (const auto& run : use.longRunning)
+            m_jobs.recall(run);
+    }
 }
 
 void MachineMaster::proposeOrder(const std::string& machine)
--- a/src/machines/MachineMasterPools.cpp
+++ b/src/machines/MachineMasterPools.cpp
@@ -33,6 +33,7 @@
         auto count = static_cast<std::int64_t>(step.tasks.size());
         if (spec.isLongRunning) {
             demand.longRunning += count * milliCores;
+            demand.recallsAtOnce += std::max<std::uint32_t>(1, spec.maxUnavailable);
             auto tasksPerMachine = std::max<std::uint32_t>(1, spec.maxPerRunner);
             auto machinesNeeded = (spec.count + tasksPerMachine - 1) / tasksPerMachine;
             if (spec.maxPerRunner != 0)
--- a/src/machines/MachineMasterWaves.cpp
+++ b/src/machines/MachineMasterWaves.cpp
@@ -2,6 +2,8 @@
 #include "celeryline/machines/MachineMaster.h"
 #include "celeryline/settings/EventLog.h"
 
+#include <set>
+#include <string>
 #include <utility>
 
 namespace celeryline {
@@ -33,21 +35,44 @@
     }
     for (const auto& [number, wave] : m_store.waves()) {
         if (wave.done.size() < wave.order.machines.size())
-            planWave(wave, surplus);
+            planWave(wave, surplus, demands);
     }
+    updateDueRunners();
 }
 
-void MachineMaster::planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& surplus)
+void MachineMaster::updateDueRunners()
+{
+    std::set<std::string> runners;
+    for (const auto& [number, wave] : m_store.waves()) {
+        if (wave.done.size() >= wave.order.machines.size())
+            continue;
+        for (const auto& name : wave.order.machines) {
+            if (wave.done.count(name) != 0 || m_machines.count(name) == 0)
+                continue;
+            for (auto& runner : runnersOn(name))
+                runners.insert(std::move(runner));
+        }
+    }
+    m_jobs.setDueForUpkeep(std::move(runners));
+}
+
+void MachineMaster::planWave(const WaveState& wave, const std::map<std::string, std::int64_t>& surplus,
+    const std::vector<PoolDemand>& demands)
 {
     UpkeepPlanInput input;
     input.maxAtOnce = wave.order.maxAtOnce;
     input.timeLeft = wave.order.startedAt + wave.order.deadline - m_clock().wall;
     input.spareMilliCores = surplus;
+    for (const auto& demand : demands)
+        input.recallsAtOnce[demand.pool] = demand.recallsAtOnce;
     std::vector<DueMachine> due;
     for (const auto& name : wave.order.machines) {
         auto operation = m_operations.find(name);
         if (operation != m_operations.end()) {
             input.down += operation->second.wave == wave.order.wave ? 1 : 0;
+            bool isDraining = operation->second.wave != 0 && operation->second.stage == Stage::Draining;
+            if (isDraining && m_machines.count(name) != 0 && !useOf(name).longRunning.empty())
+                ++input.drainingLongRunning[m_machines.at(name).info.pool];
             continue;
         }
         if (wave.done.count(name) != 0) {
--- a/src/machines/UpkeepPlan.cpp
+++ b/src/machines/UpkeepPlan.cpp
@@ -6,6 +6,10 @@
 namespace celeryline {
 namespace {
 
+/// Minimum number of machines of a pool whose long-running tasks are recalled at the same time. With two, the
+/// next recall needn't wait for the next plan when one machine is empty.
+constexpr std::uint32_t minLongRunningDrains = 2;
+
 /// @return whether the wave would miss its deadline if only machines of pools with a surplus were selected.
 bool isUrgent(std::size_t due, const UpkeepPlanInput& input)
 {
@@ -24,6 +28,8 @@
             < std::make_tuple(!b.isStandby, !b.hasLongRunningTasks, b.inUse, b.machine);
     });
     bool urgent = isUrgent(due.size(), input);
+    bool areOthersDue = std::any_of(due.begin(), due.end(),
+        [](const DueMachine& machine) { return !machine.isStandby && !machine.hasLongRunningTasks; });
     std::vector<std::string> chosen;
     for (const auto& machine : due) {
         if (input.down + chosen.size() >= input.maxAtOnce)
@@ -31,6 +37,12 @@
         auto& spare = input.spareMilliCores[machine.pool];
         if (!machine.isStandby && !urgent && spare < machine.milliCores)
             continue;
+        if (machine.hasLongRunningTasks) {
+            auto& draining = input.drainingLongRunning[machine.pool];
+            if (areOthersDue && draining >= std::max(minLongRunningDrains, input.recallsAtOnce[machine.pool]))
+                continue;
+            ++draining;
+        }
         if (!machine.isStandby)
             spare -= machine.milliCores;
         chosen.push_back(machine.machine);
--- a/test/UpkeepPlanTest.cpp
+++ b/test/UpkeepPlanTest.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace celeryline;
 
 namespace {
@@ -60,3 +62,35 @@
     input.down = 3;
     REQUIRE(planUpkeep(due(), input).empty());
 }
+
+// Load: a wave over many machines with long-running tasks, which can be recalled only a few at a time. They
+// occupied all places of the wave while the others waited (one of 147 machines was late).
+TEST_CASE("Machines with long-running tasks leave places to others", "[upkeep]")
+{
+    std::vector<DueMachine> machines;
+    for (int i = 0; i < 6; ++i) {
+        machines.push_back({ "lasting" + std::to_string(i), "pool", milliCores, 5000, false, true });
+        machines.push_back({ "other" + std::to_string(i), "pool", milliCores, 0, false, false });
+    }
+    UpkeepPlanInput input;
+    input.maxAtOnce = 6;
+    input.timeLeft = { 5000 };
+    auto countLasting = [&](const std::vector<std::string>& chosen) {
+        return std::count_if(chosen.begin(), chosen.end(),
+            [](const std::string& name) { return name.rfind("lasting", 0) == 0; });
+    };
+    auto chosen = planUpkeep(machines, input);
+    REQUIRE(chosen.size() == 6);
+    REQUIRE(countLasting(chosen) == 2);
+    input.recallsAtOnce["pool"] = 4;
+    REQUIRE(countLasting(planUpkeep(machines, input)) == 4);
+    input.recallsAtOnce.clear();
+    input.down = 1;
+    input.drainingLongRunning["pool"] = 1;
+    REQUIRE(countLasting(planUpkeep(machines, input)) == 1);
+    // Without others, no place stays empty.
+    machines.erase(std::remove_if(machines.begin(), machines.end(),
+                       [](const DueMachine& machine) { return !machine.hasLongRunningTasks; }),
+        machines.end());
+    REQUIRE(planUpkeep(machines, input).size() == 5);
+}
