Share scarce capacity of a pool between customers by weight

Cause: one customer at many times its usual load took the capacity of all others: starts went by priority and slack alone.

Change: JobStore counts per pool what each customer has reserved and whether it has work (PoolUses, derived state). A plan lets customers within their share of the pool (weight, dominant resource of CPU and memory, among the customers with work) start in the present order, job for job and task for task, so that a wide job stops at the share. What is left goes to the others, lowest use in relation to weight first, in the order of each customer's jobs. Long-running tasks and jobs without a customer take no part; without customers in the configuration nothing changes. The wait report names fair share as the cause, with use and share. CandidateIndex adds up the free capacity of each pool.

--- a/include/celeryline/jobs/CandidateIndex.h
+++ b/include/celeryline/jobs/CandidateIndex.h
@@ -80,6 +80,10 @@
     /// @return its candidates; empty for a pool without runners.
     const CandidatePool& pool(const std::string& service) const;
 
+    /// @param service a pool.
+    /// @return the free capacity of its candidates in total.
+    Resources freeIn(const std::string& service) const;
+
     /// Subtracts the reservation of one task from a candidate's free capacity.
     /// @param candidate a candidate of this index.
     /// @param step the task's step.
@@ -90,8 +94,13 @@
     void restore(const PlacementCandidate& before) { set(before); }
 
 private:
+    struct Pool {
+        CandidatePool candidates;
+        Resources free; ///< Total free capacity of the candidates.
+    };
+
     std::unordered_map<std::string, PlacementCandidate> m_candidates; ///< By runner.
-    std::map<std::string, CandidatePool> m_pools;
+    std::map<std::string, Pool> m_pools;
 };
 
 } // namespace celeryline
--- a/include/celeryline/jobs/JobSpec.h
+++ b/include/celeryline/jobs/JobSpec.h
@@ -6,6 +6,7 @@
 #include "celeryline/jobs/JobId.h"
 #include "celeryline/registry/Announcement.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -57,4 +58,11 @@
     return reserved;
 }
 
+/// @return the smaller one of two amounts, for each resource.
+inline Resources componentwiseMin(const Resources& a, const Resources& b)
+{
+    return { std::min(a.cpuMilli, b.cpuMilli), std::min(a.memoryMb, b.memoryMb),
+        std::min(a.accelerators, b.accelerators) };
+}
+
 } // namespace celeryline
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -5,6 +5,7 @@
 #include "celeryline/customers/ApiKeyIndex.h"
 #include "celeryline/jobs/CancelledJobIds.h"
 #include "celeryline/jobs/JobState.h"
+#include "celeryline/jobs/PoolUse.h"
 
 #include <map>
 #include <set>
@@ -72,6 +73,9 @@
     /// @return what the customers have running.
     const CustomerUses& customerUses() const { return m_customerUses; }
 
+    /// @return what the customers have running and waiting in each pool.
+    const PoolUses& poolUses() const { return m_poolUses; }
+
     /// @param name name of a customer.
     /// @return what its active runs count against its limit.
     CustomerUse useOfCustomer(const std::string& name) const;
@@ -128,6 +132,7 @@
     void deallocate(const RunnerIncarnation& incarnation, const RunName& run);
     std::map<RunnerIncarnation, Millis> silences() const;
     void rebuildIndexes();
+    void rebuildPoolUses();
     void indexJob(JobState& job);
 
     QueueConfiguration m_configuration;
@@ -144,6 +149,7 @@
     std::set<std::pair<Millis, JobId>> m_idleEndedJobs;
     std::map<RunnerIncarnation, RunnerAllocation> m_allocations;
     CustomerUses m_customerUses;
+    PoolUses m_poolUses;
 };
 
 } // namespace celeryline
--- a/include/celeryline/jobs/StartPlan.h
+++ b/include/celeryline/jobs/StartPlan.h
@@ -41,7 +41,9 @@
 /// delays few jobs. A step whose tasks should share a rack goes to the rack with the tightest fit. A runner
 /// on which the task failed comes last, and is excluded for two seconds if the pool has another one. Second
 /// runs of slow tasks are placed after everything else. No start brings a customer above its limit; jobs of
-/// customers without room in it are skipped.
+/// customers without room in it are skipped. Jobs of customers beyond their share of a pool come after all
+/// others there, those of the customer with the lowest use in relation to its weight first; see
+/// docs/design/fair-shares.md.
 /// @param store jobs and configuration.
 /// @param candidates runners that accept new tasks; the reservations of the starts are subtracted.
 /// @param wallNow wall time.
--- a/include/celeryline/jobs/TaskPlacer.h
+++ b/include/celeryline/jobs/TaskPlacer.h
@@ -5,6 +5,7 @@
 #include "celeryline/jobs/CandidateIndex.h"
 #include "celeryline/jobs/JobStore.h"
 #include "celeryline/jobs/PlacementHints.h"
+#include "celeryline/jobs/ShareLedger.h"
 #include "celeryline/jobs/UnplaceableDemands.h"
 
 #include <cstdint>
@@ -15,6 +16,13 @@
 
 namespace celeryline {
 
+/// Result of the placement of a job.
+enum class PlaceResult : std::uint8_t {
+    Done, ///< Some of its tasks start, or none was searched for.
+    NoRoom, ///< The search found no runner for any task.
+    AtShare ///< Its customer reached the level given to setShares(); tasks may be left.
+};
+
 /// Places tasks on runners and collects the starts. No customer's runs exceed its limit.
 class TaskPlacer {
 public:
@@ -31,9 +39,22 @@
     /// @return whether it is known that no task of the job can start.
     bool isExcluded(const std::string& service, const StartableJob& job);
 
-    /// Places as many tasks of a job as possible.
-    /// @return whether the search found no runner for any task.
-    bool placeJob(const JobState& job, const QueueSettings& queue);
+    /// @param service a pool.
+    /// @param minDemand component-wise minimum of the reservations of some tasks.
+    /// @return whether it is known that none of them can start.
+    bool isWithoutRoom(const std::string& service, const Resources& minDemand) const;
+
+    /// Places as many tasks of a job as possible. May be called again for a job whose result was AtShare.
+    PlaceResult placeJob(const JobState& job, const QueueSettings& queue);
+
+    /// Sets the shares that the starts of the following jobs count against.
+    /// @param shares shares of the jobs' pool; null if they take no part in them.
+    /// @param stopLevel level at which a customer gets no more tasks, once it has got one.
+    void setShares(ShareLedger* shares, double stopLevel = 0)
+    {
+        m_shares = shares;
+        m_stopLevel = stopLevel;
+    }
 
     /// Places a second run of a slow task.
     void placeSpeculative(const TaskName& name);
@@ -41,9 +62,6 @@
     std::vector<StartRun> takeStarts() { return std::move(m_starts); }
 
 private:
-    /// @return whether no runner has as much free capacity as the demand, as far as that is known.
-    bool isWithoutRoom(const std::string& service, const Resources& minDemand) const;
-
     /// @return whether a reservation is known to fit on no runner of the pool with the label.
     bool isKnownUnplaceable(
         const std::string& service, const std::string& label, const Resources& reservation) const;
@@ -56,7 +74,17 @@
     /// @return whether the limit of the job's customer leaves room for a task, or for the gang as a whole.
     bool fitsQuota(const StepSpec& spec, const StepState& step);
 
-    void placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service);
+    /// @return false if the customer has reached its share.
+    bool placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service);
+
+    bool isAtShare() const;
+
+    /// Remembers the starts of a job of which tasks are left, since its state doesn't show them yet.
+    /// @param first index of the first of them.
+    void keepStarts(std::size_t first);
+
+    /// @return the starts of a step that keepStarts() has remembered; null if there are none.
+    const std::vector<StartRun>* keptStarts(const TaskName& step) const;
 
     void addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate);
 
@@ -88,6 +116,9 @@
     std::string m_dataCentre;
     bool m_needsAdvice = false; ///< Whether the current queue needs advice.
     CustomerNumber m_customer = noCustomer; ///< Customer of the current job.
+    ShareLedger* m_shares = nullptr; ///< Shares of the current pool; null if the jobs take no part in them.
+    double m_stopLevel = 0; ///< See setShares().
+    std::map<TaskName, std::vector<StartRun>> m_keptStarts; ///< By the first task of the step.
     std::vector<StartRun> m_starts;
 };
 
--- a/include/celeryline/jobs/WaitReason.h
+++ b/include/celeryline/jobs/WaitReason.h
@@ -22,14 +22,16 @@
     TaskLimit, ///< The runner has reached the step's limit of tasks per runner.
     FailedThere, ///< The task failed there, and another runner of the pool is eligible.
     NoAdvice, ///< The advice service has not approved the runner for the step.
-    Quota ///< The customer would exceed its limit. Concerns all runners.
+    Quota, ///< The customer would exceed its limit. Concerns all runners.
+    FairShare ///< Others come first, since the customer has its share. Concerns all runners.
 };
 
 /// All reasons, in the order of the checks.
-constexpr std::array<WaitReason, 14> allWaitReasons { WaitReason::HasRoom, WaitReason::Leaving,
+constexpr std::array<WaitReason, 15> allWaitReasons { WaitReason::HasRoom, WaitReason::Leaving,
     WaitReason::Silent, WaitReason::Reserved, WaitReason::Quarantine, WaitReason::Probation,
     WaitReason::MissingLabel, WaitReason::LittleCpu, WaitReason::LittleMemory, WaitReason::FewAccelerators,
-    WaitReason::TaskLimit, WaitReason::FailedThere, WaitReason::NoAdvice, WaitReason::Quota };
+    WaitReason::TaskLimit, WaitReason::FailedThere, WaitReason::NoAdvice, WaitReason::Quota,
+    WaitReason::FairShare };
 
 /// @param reason a reason.
 /// @return its name in log events.
--- a/include/celeryline/jobs/WaitReport.h
+++ b/include/celeryline/jobs/WaitReport.h
@@ -36,6 +36,8 @@
     std::string customer {}; ///< Customer of the job; empty for none.
     Resources customerRunning {}; ///< What its active runs, and the plan's starts, count against its limit.
     Resources customerLimit {}; ///< Its limit; 0 for none.
+    double customerFraction = 0; ///< Fraction of the pool that it uses, of the scarcer resource.
+    double customerShare = 0; ///< Its share of the pool while capacity is scarce.
 };
 
 /// @param job a job.
--- a/src/jobs/CandidateIndex.cpp
+++ b/src/jobs/CandidateIndex.cpp
@@ -9,7 +9,9 @@
     remove(candidate.incarnation.runner);
     auto runner = candidate.incarnation.runner;
     const auto& added = m_candidates.emplace(std::move(runner), std::move(candidate)).first->second;
-    m_pools[added.service].insert(&added);
+    auto& pool = m_pools[added.service];
+    pool.candidates.insert(&added);
+    pool.free += added.free;
 }
 
 void CandidateIndex::remove(const std::string& runner)
@@ -17,7 +19,9 @@
     auto found = m_candidates.find(runner);
     if (found == m_candidates.end())
         return;
-    m_pools[found->second.service].erase(&found->second);
+    auto& pool = m_pools[found->second.service];
+    pool.candidates.erase(&found->second);
+    pool.free -= found->second.free;
     m_candidates.erase(found);
 }
 
@@ -37,7 +41,13 @@
 {
     static const CandidatePool empty;
     auto found = m_pools.find(service);
-    return found == m_pools.end() ? empty : found->second;
+    return found == m_pools.end() ? empty : found->second.candidates;
+}
+
+Resources CandidateIndex::freeIn(const std::string& service) const
+{
+    auto found = m_pools.find(service);
+    return found == m_pools.end() ? Resources {} : found->second.free;
 }
 
 void CandidateIndex::reserve(const PlacementCandidate& candidate, const StepSpec& step)
@@ -45,12 +55,14 @@
     auto& changed = m_candidates.at(candidate.incarnation.runner);
     auto& pool = m_pools[changed.service];
     // The position in the pool depends on the free capacity.
-    pool.erase(&changed);
+    pool.candidates.erase(&changed);
+    pool.free -= changed.free;
     changed.free -= reservedBy(step);
     if (changed.takesOneTask)
         changed.free = {};
     changed.longRunning += step.isLongRunning ? 1 : 0;
-    pool.insert(&changed);
+    pool.candidates.insert(&changed);
+    pool.free += changed.free;
 }
 
 } // namespace celeryline
--- a/src/jobs/CustomerUse.cpp
+++ b/src/jobs/CustomerUse.cpp
@@ -10,7 +10,10 @@
 /// callers declare could overflow.
 bool isWithin(std::int64_t limit, std::int64_t used, std::int64_t demand, std::int64_t count)
 {
-    return limit == 0 || (used <= limit && demand <= (limit - used) / count);
+    if (limit == 0)
+        return true;
+    // Most checks are of single tasks, and a backlog has thousands of them.
+    return used <= limit && demand <= (count == 1 ? limit - used : (limit - used) / count);
 }
 
 bool isWithin(const Resources& limit, const Resources& used, const Resources& demand, std::int64_t count)
--- a/src/jobs/JobEvents.cpp
+++ b/src/jobs/JobEvents.cpp
@@ -1,5 +1,6 @@
 #include "celeryline/jobs/JobEvents.h"
 
+#include <cmath>
 #include <set>
 
 namespace celeryline {
@@ -56,6 +57,12 @@
     return "";
 }
 
+std::int64_t permille(double fraction)
+{
+    constexpr double perUnit = 1000;
+    return std::llround(fraction * perUnit);
+}
+
 } // namespace
 
 Event describeRun(const char* name, const RunName& run)
@@ -141,6 +148,8 @@
             .with("customerMilliCores", wait.customerRunning.cpuMilli)
             .with("customerMemoryMb", wait.customerRunning.memoryMb)
             .with("customerAccelerators", wait.customerRunning.accelerators)
+            .with("customerPermille", permille(wait.customerFraction))
+            .with("sharePermille", permille(wait.customerShare))
             .with("limitMilliCores", wait.customerLimit.cpuMilli)
             .with("limitMemoryMb", wait.customerLimit.memoryMb)
             .with("limitAccelerators", wait.customerLimit.accelerators);
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -27,6 +27,7 @@
         updateObjective(job);
         updateStartable(job);
     }
+    rebuildPoolUses();
 }
 
 void JobStore::applyCommand(const SubmitJob& command, Millis time)
--- a/src/jobs/JobStoreIndexes.cpp
+++ b/src/jobs/JobStoreIndexes.cpp
@@ -4,15 +4,6 @@
 #include <algorithm>
 
 namespace celeryline {
-namespace {
-
-Resources componentwiseMin(const Resources& a, const Resources& b)
-{
-    return { std::min(a.cpuMilli, b.cpuMilli), std::min(a.memoryMb, b.memoryMb),
-        std::min(a.accelerators, b.accelerators) };
-}
-
-} // namespace
 
 std::optional<MinDemand> minStartableDemand(const JobState& job)
 {
@@ -69,6 +60,8 @@
     job.latestStart = dueTime(job) + job.objective - job.remaining;
     m_startableJobs[job.spec.queue].insert({ isLongRunning(job), job.latestStart, job.spec.id,
         minDemand->reserved, minDemand->quota, job.customer });
+    if (!isLongRunning(job))
+        m_poolUses.addStartable(m_customerUses, job.spec.queue, job.customer);
 }
 
 void JobStore::removeStartable(const JobState& job)
@@ -76,7 +69,9 @@
     auto found = m_startableJobs.find(job.spec.queue);
     if (found == m_startableJobs.end())
         return;
-    found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id });
+    auto erased = found->second.erase({ isLongRunning(job), job.latestStart, job.spec.id });
+    if (erased != 0 && !isLongRunning(job))
+        m_poolUses.removeStartable(m_customerUses, job.spec.queue, job.customer);
     if (found->second.empty())
         m_startableJobs.erase(found);
 }
@@ -110,7 +105,9 @@
     allocation.runs.insert(run);
     allocation.reserved += reservedBy(step);
     allocation.longRunning += step.isLongRunning ? 1 : 0;
-    m_customerUses.addRun(findJob(run.task.job)->customer, step);
+    const auto& job = *findJob(run.task.job);
+    m_customerUses.addRun(job.customer, step);
+    m_poolUses.addRun(m_customerUses, job.spec.queue, job.customer, step);
 }
 
 void JobStore::deallocate(const RunnerIncarnation& incarnation, const RunName& run)
@@ -121,7 +118,9 @@
     const auto& step = *findStep(run.task);
     found->second.reserved -= reservedBy(step);
     found->second.longRunning -= step.isLongRunning ? 1 : 0;
-    m_customerUses.removeRun(findJob(run.task.job)->customer, step);
+    const auto& job = *findJob(run.task.job);
+    m_customerUses.removeRun(job.customer, step);
+    m_poolUses.removeRun(m_customerUses, job.spec.queue, job.customer, step);
     if (found->second.runs.empty())
         m_allocations.erase(found);
 }
@@ -140,10 +139,31 @@
 {
     m_apiKeys = ApiKeyIndex(m_configuration.customers);
     m_customerUses.setCustomers(m_configuration.customers);
+    m_poolUses.reset(m_configuration);
     for (auto& [id, job] : m_jobs)
         indexJob(job);
 }
 
+void JobStore::rebuildPoolUses()
+{
+    // The pool of a queue and the weight of a customer may have changed.
+    m_poolUses.reset(m_configuration);
+    if (m_customerUses.lastNumber() == 0)
+        return;
+    for (const auto& [incarnation, allocation] : m_allocations) {
+        for (const auto& run : allocation.runs) {
+            const auto& job = *findJob(run.task.job);
+            m_poolUses.addRun(m_customerUses, job.spec.queue, job.customer, *findStep(run.task));
+        }
+    }
+    for (const auto& [queue, jobs] : m_startableJobs) {
+        for (const auto& job : jobs) {
+            if (!job.isLongRunning)
+                m_poolUses.addStartable(m_customerUses, queue, job.customer);
+        }
+    }
+}
+
 void JobStore::indexJob(JobState& job)
 {
     job.customer = m_customerUses.numberOf(job.spec.customer);
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -7,6 +7,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <queue>
 #include <tuple>
 #include <utility>
 
@@ -19,12 +20,62 @@
 /// whose demand is known to be unplaceable are skipped without a search and don't count.
 constexpr int maxFailedSearches = 256;
 
+/// A customer beyond its share may exceed the next one's level by this part of a full share before that one
+/// gets its turn, so that a job with many tasks isn't resumed for each of them.
+constexpr double turnsPerShare = 16;
+
+struct QueueRange;
+
+/// A job whose customer had reached its share when its turn came.
+struct DeferredJob {
+    const QueueRange* range = nullptr;
+    const StartableJob* startable = nullptr;
+};
+
+/// The shares of one pool in a plan.
+struct PoolSharing {
+    const PoolUse* use = nullptr; ///< Null if the pool has no jobs of customers.
+    Resources free; ///< At the start of the plan.
+    std::optional<ShareLedger> shares {}; ///< Created with the first job that needs it.
+    std::vector<DeferredJob> deferred {}; ///< In the order of the plan.
+    Resources minDemand {}; ///< Component-wise minimum of what their tasks reserve.
+
+    void defer(const QueueRange& range, const StartableJob& startable)
+    {
+        const auto& demand = startable.minDemand;
+        minDemand = deferred.empty() ? demand : componentwiseMin(minDemand, demand);
+        deferred.push_back({ &range, &startable });
+    }
+};
+
+/// The turn of a customer beyond its share.
+struct CustomerTurn {
+    double level = 0;
+    std::uint32_t priority = 0;
+    CustomerNumber customer = noCustomer;
+};
+
+/// Orders turns from the last to the first, as std::priority_queue needs it.
+bool operator<(const CustomerTurn& a, const CustomerTurn& b)
+{
+    return std::tie(a.level, a.priority, a.customer) > std::tie(b.level, b.priority, b.customer);
+}
+
+/// The deferred jobs of one customer.
+struct CustomerBacklog {
+    std::vector<DeferredJob> jobs;
+    std::size_t next = 0; ///< Index of the first one that is left.
+
+    bool isEmpty() const { return next == jobs.size(); }
+};
+
 /// The startable jobs of one queue, as a range of JobStore::startableJobs().
 struct QueueRange {
     const QueueSettings* queue = nullptr;
     const std::set<StartableJob>* jobs = nullptr;
     std::set<StartableJob>::const_iterator next;
     std::set<StartableJob>::const_iterator end;
+    PoolSharing* pool = nullptr; ///< Null if the configuration has no customers.
 
     bool isEmpty() const { return next == end; }
 };
@@ -38,8 +89,10 @@
     {
         for (const auto& [key, jobs] : store.startableJobs()) {
             const auto* queue = findQueue(store.configuration(), key);
-            if (queue != nullptr && !candidates.pool(queue->service).empty())
-                m_queues.push_back({ queue, &jobs, jobs.begin(), jobs.end() });
+            if (queue == nullptr || candidates.pool(queue->service).empty())
+                continue;
+            m_queues.push_back(
+                { queue, &jobs, jobs.begin(), jobs.end(), addPool(queue->service, candidates) });
         }
     }
 
@@ -54,6 +107,8 @@
         }
         placeRanges();
         placeLate(wallNow);
+        for (auto& [service, pool] : m_pools)
+            placeDeferred(service, pool);
     }
 
 private:
@@ -73,11 +128,95 @@
         // Skips unplaceable jobs without a lookup, which keeps a long backlog cheap.
         if (m_placer.isExcluded(range.queue->service, startable))
             return true;
-        if (m_placer.placeJob(*m_store.findJob(startable.id), *range.queue))
+        bool isSharing = startable.customer != noCustomer && !startable.isLongRunning;
+        auto* shares = isSharing ? sharesOf(range.pool) : nullptr;
+        if (shares != nullptr && !shares->isWithinShare(startable.customer)) {
+            range.pool->defer(range, startable);
+            return true;
+        }
+        m_placer.setShares(shares, shares == nullptr ? 0 : shares->fullLevel());
+        auto result = m_placer.placeJob(*m_store.findJob(startable.id), *range.queue);
+        if (result == PlaceResult::NoRoom)
             ++failedSearches;
+        if (result == PlaceResult::AtShare)
+            range.pool->defer(range, startable);
         return true;
     }
 
+    /// @return the sharing of a pool; null without customers.
+    PoolSharing* addPool(const std::string& service, const CandidateIndex& candidates)
+    {
+        if (m_store.configuration().customers.empty())
+            return nullptr;
+        auto& pool = m_pools[service];
+        pool.use = m_store.poolUses().find(service);
+        pool.free = candidates.freeIn(service);
+        return &pool;
+    }
+
+    /// @return the shares of a pool; null if it has none.
+    ShareLedger* sharesOf(PoolSharing* pool) const
+    {
+        if (pool == nullptr || pool->use == nullptr)
+            return nullptr;
+        if (!pool->shares)
+            pool->shares.emplace(m_store.customerUses(), *pool->use, pool->free);
+        return &*pool->shares;
+    }
+
+    /// Places the jobs of customers beyond their share. The customer with the lowest level comes first.
+    void placeDeferred(const std::string& service, PoolSharing& pool)
+    {
+        if (!hasRoomForDeferred(service, pool))
+            return;
+        const auto& uses = m_store.customerUses();
+        std::vector<CustomerBacklog> backlogs(uses.lastNumber() + 1);
+        for (const auto& job : pool.deferred)
+            backlogs[job.startable->customer].jobs.push_back(job);
+        std::priority_queue<CustomerTurn> turns;
+        auto addTurn = [&](CustomerNumber customer) {
+            if (!backlogs[customer].isEmpty())
+                turns.push({ pool.shares->level(customer), uses.settings(customer).priority, customer });
+        };
+        for (CustomerNumber customer = 1; customer < backlogs.size(); ++customer)
+            addTurn(customer);
+        while (!turns.empty() && hasRoomForDeferred(service, pool)) {
+            auto customer = turns.top().customer;
+            turns.pop();
+            auto stopLevel = turns.empty() ? std::numeric_limits<double>::infinity()
+                                           : turns.top().level + pool.shares->fullLevel() / turnsPerShare;
+            m_placer.setShares(&*pool.shares, stopLevel);
+            auto& backlog = backlogs[customer];
+            while (!backlog.isEmpty() && hasRoomForDeferred(service, pool)) {
+                if (placeDeferred(backlog.jobs[backlog.next]) == PlaceResult::AtShare)
+                    break;
+                ++backlog.next;
+                if (pool.shares->level(customer) >= stopLevel)
+                    break;
+            }
+            addTurn(customer);
+        }
+    }
+
+    /// @return whether a deferred job may find room. In a full pool, a look at each job of a long backlog
+    /// would be in vain.
+    bool hasRoomForDeferred(const std::string& service, const PoolSharing& pool) const
+    {
+        return !pool.deferred.empty() && !m_placer.isWithoutRoom(service, pool.minDemand);
+    }
+
+    PlaceResult placeDeferred(const DeferredJob& job)
+    {
+        auto& failedSearches = m_failedSearches[job.range->queue->key];
+        if (failedSearches >= maxFailedSearches
+            || m_placer.isExcluded(job.range->queue->service, *job.startable))
+            return PlaceResult::Done;
+        auto result = m_placer.placeJob(*m_store.findJob(job.startable->id), *job.range->queue);
+        if (result == PlaceResult::NoRoom)
+            ++failedSearches;
+        return result;
+    }
+
     void placeRanges()
     {
         for (;;) {
@@ -112,6 +251,7 @@
 
     const JobStore& m_store;
     TaskPlacer& m_placer;
+    std::map<std::string, PoolSharing> m_pools; ///< By service.
     std::vector<QueueRange> m_queues;
     std::map<std::string, int> m_failedSearches; ///< Jobs searched for in vain, by queue.
 };
--- a/src/jobs/TaskPlacer.cpp
+++ b/src/jobs/TaskPlacer.cpp
@@ -84,10 +84,10 @@
     return pool.lower_bound(minDemand.cpuMilli) == pool.end() || isKnownUnplaceable(service, "", minDemand);
 }
 
-bool TaskPlacer::placeJob(const JobState& job, const QueueSettings& queue)
+PlaceResult TaskPlacer::placeJob(const JobState& job, const QueueSettings& queue)
 {
     if (queue.needsAdvice && !m_advice.isAdvised)
-        return true;
+        return PlaceResult::NoRoom;
     m_needsAdvice = queue.needsAdvice;
     m_customer = job.customer;
     m_dataCentre = dataCentreOf(job);
@@ -108,12 +108,36 @@
                 // Jobs of a customer at its limit must not hide those of others either.
                 if (!fitsQuota(spec, steps[i]))
                     continue;
-                placeStep(spec, steps[i], first, queue.service);
-                hasSearched = true;
+                // The tasks of a job that is resumed may all have been placed before.
+                hasSearched = hasSearched || keptStarts(first) == nullptr;
+                if (!placeStep(spec, steps[i], first, queue.service)) {
+                    keepStarts(startsBefore);
+                    return PlaceResult::AtShare;
+                }
             }
         }
     }
-    return hasSearched && m_starts.size() == startsBefore;
+    return hasSearched && m_starts.size() == startsBefore ? PlaceResult::NoRoom : PlaceResult::Done;
+}
+
+bool TaskPlacer::isAtShare() const
+{
+    return m_shares != nullptr && m_shares->level(m_customer) >= m_stopLevel;
+}
+
+void TaskPlacer::keepStarts(std::size_t first)
+{
+    for (auto i = first; i < m_starts.size(); ++i) {
+        auto step = m_starts[i].run.task;
+        step.index = 0;
+        m_keptStarts[step].push_back(m_starts[i]);
+    }
+}
+
+const std::vector<StartRun>* TaskPlacer::keptStarts(const TaskName& step) const
+{
+    auto found = m_keptStarts.find(step);
+    return found == m_keptStarts.end() ? nullptr : &found->second;
 }
 
 void TaskPlacer::placeSpeculative(const TaskName& name)
@@ -128,6 +152,7 @@
         return;
     m_needsAdvice = false;
     m_customer = job->customer;
+    m_shares = nullptr;
     if (!m_quota.fits(m_customer, quotaDemandOf(*spec), 1))
         return;
     m_rack.clear();
@@ -146,6 +171,8 @@
 bool TaskPlacer::isKnownUnplaceable(
     const std::string& service, const std::string& label, const Resources& reservation) const
 {
+    if (m_unplaceable.empty())
+        return false; // Without copies of the names: a plan asks this for each job of a backlog.
     auto unplaceable = m_unplaceable.find({ service, label });
     return unplaceable != m_unplaceable.end() && unplaceable->second.excludes(reservation);
 }
@@ -167,27 +194,38 @@
     return false;
 }
 
-void TaskPlacer::placeStep(
+bool TaskPlacer::placeStep(
     const StepSpec& spec, const StepState& step, TaskName name, const std::string& service)
 {
     const auto& pool = m_candidates.pool(service);
+    const auto* kept = keptStarts(name);
     // A gang restarts only after all runs of its earlier start have ended.
-    if (spec.isGang && step.active > 0)
-        return;
+    if (spec.isGang && (step.active > 0 || kept != nullptr))
+        return true;
     bool isSpread = spec.maxPerRunner != 0 || spec.isLongRunning;
     auto onRunner = isSpread ? tasksByRunner(step) : std::map<std::string, std::uint32_t> {};
     std::uint32_t lastRun = 0;
     for (const auto& task : step.tasks)
         lastRun = std::max(lastRun, task.lastRun);
     m_rack = spec.sameRack ? chooseRack(spec, step, pool) : std::string();
+    std::set<std::uint32_t> isKept;
+    if (kept != nullptr) {
+        for (const auto& start : *kept) {
+            isKept.insert(start.run.task.index);
+            if (isSpread)
+                ++onRunner[start.incarnation.runner];
+        }
+        if (spec.sameRack)
+            m_rack = m_candidates.find(kept->front().incarnation.runner)->rack;
+    }
     auto firstStart = m_starts.size();
     std::vector<PlacementCandidate> candidatesBefore;
     for (name.index = 0; name.index < step.tasks.size(); ++name.index) {
         const auto& task = step.tasks[name.index];
-        if (task.isDone || !task.runs.empty())
+        if (task.isDone || !task.runs.empty() || isKept.count(name.index) != 0)
             continue;
         if (!spec.isGang && !m_quota.fits(m_customer, quotaDemandOf(spec), 1))
-            return; // The rest of the step follows when runs of the customer have ended.
+            return true; // The rest of the step follows when runs of the customer have ended.
         const auto* candidate = chooseRunner(spec, name, pool, onRunner);
         if (candidate != nullptr) {
             if (spec.isGang)
@@ -197,15 +235,19 @@
             // The tasks of a gang share one run number.
             auto run = (spec.isGang ? lastRun : task.lastRun) + 1;
             addStart(spec, { name, run }, *candidate);
+            if (!spec.isGang && isAtShare())
+                return false;
         } else if (spec.isGang) {
             withdrawStarts(spec, firstStart, candidatesBefore);
-            return;
+            return true;
         } else if (m_hints.failedOn.count(name) == 0) {
-            if (dependsOnCapacityOnly(spec, name, step.active == 0 && m_starts.size() == firstStart))
+            bool isFirst = step.active == 0 && kept == nullptr && m_starts.size() == firstStart;
+            if (dependsOnCapacityOnly(spec, name, isFirst))
                 m_unplaceable[{ service, spec.requiredLabel }].add(reservedBy(spec));
-            return; // The other tasks of the step have the same demand.
+            return true; // The other tasks of the step have the same demand.
         }
     }
+    return !(spec.isGang && isAtShare());
 }
 
 void TaskPlacer::addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate)
@@ -215,13 +257,18 @@
         m_dataCentre = candidate.dataCentre;
     m_candidates.reserve(candidate, spec);
     m_quota.add(m_customer, quotaDemandOf(spec));
+    if (m_shares != nullptr)
+        m_shares->add(m_customer, reservedBy(spec));
 }
 
 void TaskPlacer::withdrawStarts(
     const StepSpec& spec, std::size_t first, const std::vector<PlacementCandidate>& candidatesBefore)
 {
-    for (auto i = first; i < m_starts.size(); ++i)
+    for (auto i = first; i < m_starts.size(); ++i) {
         m_quota.subtract(m_customer, quotaDemandOf(spec));
+        if (m_shares != nullptr)
+            m_shares->subtract(m_customer, reservedBy(spec));
+    }
     m_starts.resize(first);
     for (auto before = candidatesBefore.rbegin(); before != candidatesBefore.rend(); ++before)
         m_candidates.restore(*before);
--- a/src/jobs/WaitReport.cpp
+++ b/src/jobs/WaitReport.cpp
@@ -1,5 +1,6 @@
 #include "celeryline/jobs/WaitReport.h"
 
+#include "celeryline/jobs/ShareLedger.h"
 #include "celeryline/jobs/TaskFit.h"
 
 #include <algorithm>
@@ -188,6 +189,8 @@
         return "noAdvice";
     case WaitReason::Quota:
         return "quota";
+    case WaitReason::FairShare:
+        return "fairShare";
     }
     return "";
 }
@@ -215,19 +218,51 @@
 
 namespace {
 
+/// @return the free capacity of a pool at the start of a plan.
+Resources freeBeforePlan(const JobStore& store, const std::vector<PoolRunner>& runners,
+    const std::vector<StartRun>& starts, const std::string& pool)
+{
+    Resources free;
+    for (const auto& runner : runners) {
+        if (runner.candidate.service == pool && runner.refusal == WaitReason::HasRoom)
+            free += runner.candidate.free;
+    }
+    for (const auto& start : starts) {
+        const auto* queue = findQueue(store.configuration(), store.findJob(start.run.task.job)->spec.queue);
+        if (queue != nullptr && queue->service == pool)
+            free += reservedBy(*store.findStep(start.run.task));
+    }
+    return free;
+}
+
 /// Adds the figures of the job's customer.
-void addCustomer(
-    const JobStore& store, const std::vector<StartRun>& starts, const JobState& job, PoolWait& wait)
+void addCustomer(const JobStore& store, const std::vector<PoolRunner>& runners,
+    const std::vector<StartRun>& starts, const JobState& job, PoolWait& wait)
 {
     if (job.customer == noCustomer)
         return;
+    const auto& uses = store.customerUses();
     wait.customer = job.spec.customer;
-    wait.customerRunning = store.customerUses().use(job.customer).running;
-    wait.customerLimit = store.customerUses().settings(job.customer).limit;
+    wait.customerRunning = uses.use(job.customer).running;
+    wait.customerLimit = uses.settings(job.customer).limit;
+    const auto* poolUse = store.poolUses().find(wait.pool);
+    if (poolUse == nullptr || store.configuration().customers.empty())
+        return;
+    ShareLedger shares(uses, *poolUse, freeBeforePlan(store, runners, starts, wait.pool));
     for (const auto& start : starts) {
-        if (store.findJob(start.run.task.job)->customer == job.customer)
-            wait.customerRunning += quotaDemandOf(*store.findStep(start.run.task));
+        const auto& other = *store.findJob(start.run.task.job);
+        const auto& spec = *store.findStep(start.run.task);
+        if (other.customer != job.customer)
+            continue;
+        wait.customerRunning += quotaDemandOf(spec);
+        const auto* queue = findQueue(store.configuration(), other.spec.queue);
+        if (!spec.isLongRunning && queue != nullptr && queue->service == wait.pool)
+            shares.add(job.customer, reservedBy(spec));
     }
+    wait.customerFraction = shares.fractionOf(job.customer);
+    wait.customerShare = shares.shareOf(job.customer);
+    if (wait.hold == WaitReason::HasRoom && !isLongRunning(job) && !shares.isWithinShare(job.customer))
+        wait.hold = WaitReason::FairShare;
 }
 
 } // namespace
@@ -250,7 +285,7 @@
         wait.age = wallNow - dueTime(*oldest.job);
         wait.runners = ReasonCounter(spec, oldest, hints, advice).count(runners);
         wait.hold = key.second ? WaitReason::Quota : WaitReason::HasRoom;
-        addCustomer(store, starts, *oldest.job, wait);
+        addCustomer(store, runners, starts, *oldest.job, wait);
         waits.push_back(std::move(wait));
     }
     return waits;
--- a/test/QuotaPlanTest.cpp
+++ b/test/QuotaPlanTest.cpp
@@ -194,3 +194,24 @@
     REQUIRE(waits[1].customerRunning.cpuMilli == 2000);
     REQUIRE(waits[1].customerLimit.cpuMilli == 2000);
 }
+
+// Guards against a wait that is blamed on the runners, while other customers come first.
+TEST_CASE("A job whose customer has its share is reported with the share", "[customers][shares][waits]")
+{
+    auto store = storeWithLimit({});
+    submit(store, "running", "a", makeStep(3));
+    submit(store, "other", "b", makeStep(1));
+    applyAll(store, planOn(store, 1, { 4000, 8000, 0 }, wall));
+    submit(store, "more", "a", makeStep(1), wall - Millis { 500 });
+    PoolRunner runner { { { "r0", { 1 } }, "pool", {}, { 0, 4000, 0 } }, WaitReason::HasRoom };
+    auto waits = findPoolWaits(store, { runner }, {}, wall);
+    REQUIRE(waits.size() == 1);
+    REQUIRE(waits[0].task.job == "more");
+    REQUIRE(waits[0].hold == WaitReason::FairShare);
+    REQUIRE(waits[0].customerFraction == Approx(0.75));
+    REQUIRE(waits[0].customerShare == Approx(0.5));
+    submit(store, "within", "b", makeStep(1), wall - Millis { 600 });
+    waits = findPoolWaits(store, { runner }, {}, wall);
+    REQUIRE(waits[0].task.job == "within");
+    REQUIRE(waits[0].hold == WaitReason::HasRoom);
+}
