Play arrival patterns through the admission of jobs

Cause: nothing showed that refusals keep the site useful beyond its capacity, nor what they cost at peaks.

--- a/test/ProgressRunners.cpp
+++ b/test/ProgressRunners.cpp
@@ -197,7 +197,8 @@
     work.run = start.run;
     work.since = m_now;
     auto spread = 80 + static_cast<std::int64_t>(below(41));
-    work.neededMs = static_cast<double>(std::max<std::int64_t>(50, spec->estimate.count * spread / 100));
+    auto needed = spec->estimate.count * spread * durationPercent / 10000;
+    work.neededMs = static_cast<double>(std::max<std::int64_t>(50, needed));
     work.isLongRunning = spec->isLongRunning;
     work.isGang = spec->isGang;
     work.members = spec->count;
--- a/test/ProgressSimulation.cpp
+++ b/test/ProgressSimulation.cpp
@@ -109,6 +109,24 @@
     });
 }
 
+void ProgressSimulation::offer(const JobSpec& job, int attempts)
+{
+    auto* leader = leading();
+    if (leader == nullptr) {
+        after(retryMs, [this, job, attempts] { offer(job, attempts); });
+        return;
+    }
+    auto decision = leader->master.admit(job);
+    if (!decision.refusal) {
+        submit(job);
+        return;
+    }
+    m_refusals.push_back({ m_now, job, decision });
+    auto wireDelay = (decision.retryAfter.count + 999) / 1000 * 1000;
+    if (attempts > 1)
+        after(wireDelay, [this, job, attempts] { offer(job, attempts - 1); });
+}
+
 void ProgressSimulation::startWave(const StartWave& wave)
 {
     auto order = wave;
--- a/test/ProgressSimulation.h
+++ b/test/ProgressSimulation.h
@@ -46,6 +46,8 @@
     /// Adds a pool with a queue "NAME/work/" and a queue "NAME/late/" of lower priority.
     void addPool(const std::string& name, bool isStandby = false);
     void addMachine(const std::string& pool, const Resources& capacity);
+    /// @return the configuration, to be changed before start().
+    QueueConfiguration& configuration() { return m_configuration; }
     /// Applies the configuration and begins the first term.
     void start();
 
@@ -54,6 +56,9 @@
 
     /// Submits a job and retries until it is committed.
     void submit(const JobSpec& job);
+    /// Submits a job as a caller does, subject to admission. A refused job is submitted again after the time
+    /// to come back, up to three times.
+    void offer(const JobSpec& job, int attempts = 4);
     void startWave(const StartWave& wave);
 
     void changeLeader(std::int64_t forMs);
@@ -62,6 +67,14 @@
     /// Ends all faults; runs that hang continue to hang.
     void clearFaults();
 
+    /// A refused submission.
+    struct Refusal {
+        std::int64_t at = 0;
+        JobSpec job;
+        JobAdmission decision;
+    };
+    const std::vector<Refusal>& refusals() const { return m_refusals; }
+
     std::uint64_t below(std::uint64_t limit) { return m_random() % limit; }
     std::int64_t now() const { return m_now; }
     /// @return the time at which the last fault ended.
@@ -81,6 +94,8 @@
     /// @return the state of a task and of the runners of its pool.
     std::string describe(const TaskName& task) const;
 
+    std::int64_t durationPercent = 100; ///< Mean duration of finite tasks in percent of the estimate.
+
 private:
     class Instance;
     class Provider;
@@ -141,6 +156,7 @@
     std::string m_violation;
     std::uint64_t m_startedRuns = 0;
     std::vector<JobId> m_accepted;
+    std::vector<Refusal> m_refusals;
 };
 
 /// @return whether the tasks of a job always fail.
