--- a/src/jobs/AdmissionControl.cpp
+++ b/src/jobs/AdmissionControl.cpp
@@ -103,7 +103,9 @@
             const auto& step = steps[i];
             if (spec.isLongRunning)
                 continue;
-            auto waiting = static_cast<double>(step.tasks.size() - step.done - step.active);
+            // A task that is done may have an active copy, and then counts twice in the difference.
+            auto idle = static_cast<std::int64_t>(step.tasks.size()) - step.done - step.active;
+            auto waiting = static_cast<double>(std::max<std::int64_t>(0, idle));
             auto tasks = (isLate ? 0 : waiting) + remainingPart * step.active;
             auto reserved = reservedBy(spec);
             work += workOf(reserved, tasks * ratio * static_cast<double>(spec.estimate.count));
