Expected wait: 0 when no job was submitted lately

Cause: celeryline_expected_wait_ms kept its last value after the submissions ended, so that its alarm would not end.

Change: the value is that of the last two refreshes if the last one is less than half a second old, and 0 on a process that doesn't lead.

--- a/include/celeryline/jobs/AdmissionControl.h
+++ b/include/celeryline/jobs/AdmissionControl.h
@@ -65,8 +65,9 @@
     const DurationRatios& durations() const { return m_durations; }
     const AdmissionCounts& counts() const { return m_counts; }
 
-    /// @return the longest expected wait of the jobs that were submitted since the last refresh but one.
-    Millis longestExpectedStart() const { return std::max(m_longestStart, m_longestStartBefore); }
+    /// @param now steady time.
+    /// @return the longest expected wait of recently submitted jobs; 0 if none was submitted lately.
+    Millis longestExpectedStart(Millis now) const;
 
 private:
     static constexpr Millis refreshInterval { 250 };
--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -148,6 +148,10 @@
 
     const AdmissionControl& admission() const { return m_admission; }
 
+    /// @return the longest expected wait of recently submitted jobs; 0 if none was submitted lately or this
+    /// instance isn't the leader.
+    Millis longestExpectedWait() const;
+
     /// Processes a runner's report.
     /// @param report the report.
     /// @param done called with the orders, or with nothing if this instance isn't the leader.
--- a/src/jobs/AdmissionControl.cpp
+++ b/src/jobs/AdmissionControl.cpp
@@ -197,6 +197,12 @@
     return decision;
 }
 
+Millis AdmissionControl::longestExpectedStart(Millis now) const
+{
+    bool isRecent = m_isFresh && now < m_refreshedAt + refreshInterval + refreshInterval;
+    return isRecent ? std::max(m_longestStart, m_longestStartBefore) : Millis {};
+}
+
 void AdmissionControl::record(const JobAdmission& decision)
 {
     m_longestStart = std::max(m_longestStart, decision.expectedStart);
--- a/src/jobs/JobMasterAdmission.cpp
+++ b/src/jobs/JobMasterAdmission.cpp
@@ -56,6 +56,11 @@
     return capacities;
 }
 
+Millis JobMaster::longestExpectedWait() const
+{
+    return m_log.isLeading() ? m_admission.longestExpectedStart(m_clock().steady) : Millis {};
+}
+
 JobAdmission JobMaster::admit(const JobSpec& job)
 {
     const auto& configuration = m_store.configuration();
--- a/test/JobMasterAdmissionTest.cpp
+++ b/test/JobMasterAdmissionTest.cpp
@@ -75,7 +75,9 @@
     const auto& counts = kit.kit.master.admission().counts();
     REQUIRE(counts.accepted == static_cast<std::uint64_t>(accepted));
     REQUIRE(counts.refusedByRate + counts.refusedByCapacity == static_cast<std::uint64_t>(50 - accepted));
-    REQUIRE(kit.kit.master.admission().longestExpectedStart() > Millis { 1000 });
+    REQUIRE(kit.kit.master.longestExpectedWait() > Millis { 1000 });
+    kit.advance(1000);
+    REQUIRE(kit.kit.master.longestExpectedWait() == Millis {});
 }
 
 // Guards against a change for deployments without customers.
