Keep machines whose upkeep is due in their pool near the deadline of the wave

Cause: a second way in which the last machine of a wave becomes late, found by reading. A machine that is due could be moved for another pool's peak: it is drained for up to 3 s, moved for 1.5 s, listed again up to 1 s later and drained once more, so its upkeep begins too late if less than that is left.

Change: while less is left to the deadline than a move and the upkeep after it take, machines of the wave that are still due aren't donors. That ends the same time after the deadline, so that a machine that can't have its upkeep doesn't stay in its pool for good.

Result: the test moved such a machine before and has its upkeep ordered first now; the tests of machines, upkeep, standby and the 60 random scenarios of [progress] pass.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -133,6 +133,8 @@
     void noteSilentMachines(const std::vector<PoolMachine>& machines);
     void noteLostMachines(const std::map<std::string, Machine>& listed);
     bool isDueInWave(const std::string& machine) const;
+    /// @return machines of waves that would miss their deadline if they were moved before their upkeep.
+    std::set<std::string> machinesNearDeadline() const;
     std::int64_t upkeepMilliCores() const;
     void logStandbyPlan();
 
--- a/src/machines/MachineMasterPools.cpp
+++ b/src/machines/MachineMasterPools.cpp
@@ -166,10 +166,13 @@
 void MachineMaster::planMoves(
     const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines)
 {
+    auto nearDeadline = machinesNearDeadline();
     std::vector<PoolMachine> free;
     for (const auto& machine : machines) {
-        if (m_operations.count(machine.machine) == 0)
-            free.push_back(machine);
+        if (m_operations.count(machine.machine) != 0)
+            continue;
+        free.push_back(machine);
+        free.back().isPinned = machine.isPinned || nearDeadline.count(machine.machine) != 0;
     }
     // Machines being moved count for their target pool. Machines in upkeep don't count, so that their pool
     // gets replacement capacity.
--- a/src/machines/MachineMasterWaves.cpp
+++ b/src/machines/MachineMasterWaves.cpp
@@ -11,6 +11,8 @@
 
 /// A machine that is missing from the list may reappear; after this time it counts as removed.
 constexpr Millis absenceTimeout { 15000 };
+/// Time that a machine may be drained for a move, see maxMoveDrainTime.
+constexpr Millis maxMoveTime { 3000 };
 
 } // namespace
 
@@ -95,6 +97,26 @@
         m_operations[name] = { wave.order.wave, "", Stage::Draining, m_clock().steady };
 }
 
+std::set<std::string> MachineMaster::machinesNearDeadline() const
+{
+    // The machine is drained, moved and listed again before its upkeep can begin, for which it is drained
+    // again.
+    auto needed = maxMoveTime + m_options.moveDuration + m_options.firstReportMargin + m_options.listInterval
+        + UpkeepPlanInput().timePerRound;
+    std::set<std::string> machines;
+    for (const auto& [number, wave] : m_store.waves()) {
+        auto left = wave.order.startedAt + wave.order.deadline - m_clock().wall;
+        // A machine that is late for longer may have a lasting cause, which must not keep it in its pool.
+        if (left > needed || left + needed < Millis {})
+            continue;
+        for (const auto& name : wave.order.machines) {
+            if (wave.done.count(name) == 0)
+                machines.insert(name);
+        }
+    }
+    return machines;
+}
+
 bool MachineMaster::checkAbsence(std::uint64_t wave, const std::string& machine)
 {
     // Only a list shows that a machine is missing.
--- a/test/MachineMasterTest.cpp
+++ b/test/MachineMasterTest.cpp
@@ -244,3 +244,30 @@
     fixture.advanceTime(500);
     REQUIRE(fixture.provider.orders.empty());
 }
+
+// Load: another pool's peak near the end of a wave. A machine that was moved then began its upkeep only after
+// it was drained, moved and listed again, and was late.
+TEST_CASE("A machine whose upkeep is due soon isn't moved before it", "[machines][upkeep]")
+{
+    MachineFixture fixture;
+    fixture.addMachine("m1", "pool", "r1");
+    fixture.addMachine("m2", "pool", "r2");
+    fixture.advanceTime(3600);
+    fixture.master.request(
+        StartWave { 5, { "m1", "m2" }, { 8000 }, 1, fixture.moment.wall }, [](RequestOutcome) {});
+    fixture.advanceTime(500);
+    REQUIRE(fixture.provider.orders.size() == 1);
+    fixture.addPeak();
+    fixture.advanceTime(1000);
+    REQUIRE_FALSE(fixture.provider.orders.empty());
+    for (const auto& order : fixture.provider.orders)
+        CHECK(order.pool.empty()); // An upkeep, not a move.
+    // A machine that has had its upkeep, or whose wave has time, can be moved.
+    fixture.provider.answer(MachineOutcome::Done);
+    fixture.advanceTime(3000);
+    fixture.provider.answer(MachineOutcome::Done);
+    fixture.advanceTime(3000);
+    REQUIRE(fixture.store.waves().at(5).done.size() == 2);
+    REQUIRE_FALSE(fixture.provider.orders.empty());
+    CHECK(fixture.provider.orders.front().pool == "other");
+}
