--- a/include/celeryline/jobs/CustomerUse.h
+++ b/include/celeryline/jobs/CustomerUse.h
@@ -79,6 +79,22 @@
     std::unordered_map<std::string, CustomerNumber> m_numbers; ///< By name.
 };
 
+/// @param demand what each of some tasks counts.
+/// @param count number of tasks, at least 1.
+/// @param left what is left of a limit; negative if it is exceeded.
+/// @return whether the tasks fit into it. Divides, since a product of values that callers declare could
+/// overflow; not for one task, which is the usual case in a backlog.
+inline bool isWithin(const Resources& demand, std::int64_t count, const Resources& left)
+{
+    if (count == 1) {
+        return demand.cpuMilli <= left.cpuMilli && demand.memoryMb <= left.memoryMb
+            && demand.accelerators <= left.accelerators;
+    }
+    return left.cpuMilli >= 0 && left.memoryMb >= 0 && left.accelerators >= 0
+        && demand.cpuMilli <= left.cpuMilli / count && demand.memoryMb <= left.memoryMb / count
+        && demand.accelerators <= left.accelerators / count;
+}
+
 /// The limits of all customers in the course of one plan. Counts the starts of the plan, which are not
 /// committed yet.
 ///
@@ -88,7 +104,7 @@
     /// @param uses committed use; must outlive this object.
     explicit QuotaLedger(const CustomerUses& uses)
         : m_uses(uses)
-        , m_planned(uses.lastNumber())
+        , m_rooms(uses.lastNumber())
     {
     }
 
@@ -96,7 +112,13 @@
     /// @param demand what each task counts.
     /// @param count number of tasks that start together.
     /// @return whether the customer stays within its limit if they start.
-    bool fits(CustomerNumber customer, const Resources& demand, std::int64_t count) const;
+    bool fits(CustomerNumber customer, const Resources& demand, std::int64_t count) const
+    {
+        if (customer == noCustomer)
+            return true;
+        const auto& known = room(customer);
+        return !known.isWaiting && isWithin(demand, count, known.left);
+    }
 
     /// Makes a customer that lacks a large part of its limit wait for it: if the tasks need more than half of
     /// the limit, nothing of the customer starts in the rest of this plan. Otherwise its small tasks would
@@ -109,13 +131,25 @@
     void subtract(CustomerNumber customer, const Resources& demand);
 
 private:
-    struct Planned {
-        Resources starts;
-        bool isWaiting = false;
+    /// What a customer may still start.
+    struct Room {
+        bool isKnown = false; ///< Computed at the first question, since most customers have no job in a plan.
+        bool isWaiting = false; ///< See waitFor().
+        Resources left;
     };
 
+    Room& room(CustomerNumber customer) const
+    {
+        auto& room = m_rooms[customer - 1];
+        if (!room.isKnown)
+            room = { true, false, leftOf(customer) };
+        return room;
+    }
+
+    Resources leftOf(CustomerNumber customer) const;
+
     const CustomerUses& m_uses;
-    std::vector<Planned> m_planned; ///< By number, from 1.
+    mutable std::vector<Room> m_rooms; ///< By number, from 1.
 };
 
 /// @param job a job.
--- a/include/celeryline/jobs/TaskPlacer.h
+++ b/include/celeryline/jobs/TaskPlacer.h
@@ -77,14 +77,15 @@
     /// @return false if the customer has reached its share.
     bool placeStep(const StepSpec& spec, const StepState& step, TaskName name, const std::string& service);
 
+    /// @return whether the current job has a start and its customer has reached the level of setShares().
     bool isAtShare() const;
 
-    /// Remembers the starts of a job of which tasks are left, since its state doesn't show them yet.
-    /// @param first index of the first of them.
-    void keepStarts(std::size_t first);
+    /// Remembers the starts of the current job, of which tasks are left, since its state doesn't show them
+    /// yet.
+    void keepStarts();
 
-    /// @return the starts of a step that keepStarts() has remembered; null if there are none.
-    const std::vector<StartRun>* keptStarts(const TaskName& step) const;
+    /// @return indexes of the starts of a step that keepStarts() has remembered; null if there are none.
+    const std::vector<std::size_t>* keptStarts(const TaskName& step) const;
 
     void addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate);
 
@@ -118,8 +119,9 @@
     CustomerNumber m_customer = noCustomer; ///< Customer of the current job.
     ShareLedger* m_shares = nullptr; ///< Shares of the current pool; null if the jobs take no part in them.
     double m_stopLevel = 0; ///< See setShares().
-    std::map<TaskName, std::vector<StartRun>> m_keptStarts; ///< By the first task of the step.
+    std::map<TaskName, std::vector<std::size_t>> m_keptStarts; ///< By the first task of the step.
     std::vector<StartRun> m_starts;
+    std::size_t m_firstStart = 0; ///< Index of the first start of the current job.
 };
 
 } // namespace celeryline
--- a/src/jobs/CustomerUse.cpp
+++ b/src/jobs/CustomerUse.cpp
@@ -1,33 +1,28 @@
 #include "celeryline/jobs/CustomerUse.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace celeryline {
 namespace {
 
-/// @param limit limit on a resource; 0 for none.
-/// @return whether a number of tasks fits into what is left of it. Divides, since a product of values that
-/// callers declare could overflow.
-bool isWithin(std::int64_t limit, std::int64_t used, std::int64_t demand, std::int64_t count)
-{
-    if (limit == 0)
-        return true;
-    // Most checks are of single tasks, and a backlog has thousands of them.
-    return used <= limit && demand <= (count == 1 ? limit - used : (limit - used) / count);
-}
+/// Left of a resource without a limit. No sum of what runs comes near it.
+constexpr std::int64_t unlimited = std::numeric_limits<std::int64_t>::max() / 2;
 
-bool isWithin(const Resources& limit, const Resources& used, const Resources& demand, std::int64_t count)
+/// @param limit a limit; 0 for none.
+/// @return what is left of it.
+std::int64_t leftOf(std::int64_t limit, std::int64_t used) { return limit == 0 ? unlimited : limit - used; }
+
+Resources leftOf(const Resources& limit, const Resources& used)
 {
-    return isWithin(limit.cpuMilli, used.cpuMilli, demand.cpuMilli, count)
-        && isWithin(limit.memoryMb, used.memoryMb, demand.memoryMb, count)
-        && isWithin(limit.accelerators, used.accelerators, demand.accelerators, count);
+    return { leftOf(limit.cpuMilli, used.cpuMilli), leftOf(limit.memoryMb, used.memoryMb),
+        leftOf(limit.accelerators, used.accelerators) };
 }
 
 bool needsOverHalf(const Resources& limit, const Resources& demand, std::int64_t count)
 {
-    return !isWithin({ limit.cpuMilli - limit.cpuMilli / 2, limit.memoryMb - limit.memoryMb / 2,
-                         limit.accelerators - limit.accelerators / 2 },
-        {}, demand, count);
+    Resources half { limit.cpuMilli / 2, limit.memoryMb / 2, limit.accelerators / 2 };
+    return !isWithin(demand, count, leftOf(limit, half));
 }
 
 } // namespace
@@ -79,14 +74,9 @@
         use.longRunning -= quotaDemandOf(step);
 }
 
-bool QuotaLedger::fits(CustomerNumber customer, const Resources& demand, std::int64_t count) const
+Resources QuotaLedger::leftOf(CustomerNumber customer) const
 {
-    if (customer == noCustomer)
-        return true;
-    const auto& planned = m_planned[customer - 1];
-    auto used = m_uses.use(customer).running;
-    used += planned.starts;
-    return !planned.isWaiting && isWithin(m_uses.settings(customer).limit, used, demand, count);
+    return celeryline::leftOf(m_uses.settings(customer).limit, m_uses.use(customer).running);
 }
 
 void QuotaLedger::waitFor(CustomerNumber customer, const Resources& demand, std::int64_t count)
@@ -96,26 +86,26 @@
     const auto& limit = m_uses.settings(customer).limit;
     // Beside its long-running tasks it may never fit, and then nothing should wait for it.
     if (needsOverHalf(limit, demand, count)
-        && isWithin(limit, m_uses.use(customer).longRunning, demand, count))
-        m_planned[customer - 1].isWaiting = true;
+        && isWithin(demand, count, celeryline::leftOf(limit, m_uses.use(customer).longRunning)))
+        room(customer).isWaiting = true;
 }
 
 void QuotaLedger::add(CustomerNumber customer, const Resources& demand)
 {
     if (customer != noCustomer)
-        m_planned[customer - 1].starts += demand;
+        room(customer).left -= demand;
 }
 
 void QuotaLedger::subtract(CustomerNumber customer, const Resources& demand)
 {
     if (customer != noCustomer)
-        m_planned[customer - 1].starts -= demand;
+        room(customer).left += demand;
 }
 
 bool canEverRun(const JobSpec& job, const Resources& limit)
 {
     return std::all_of(job.steps.begin(), job.steps.end(), [&](const StepSpec& step) {
-        return isWithin(limit, {}, quotaDemandOf(step), step.isGang ? std::max(step.count, 1U) : 1);
+        return isWithin(quotaDemandOf(step), step.isGang ? std::max(step.count, 1U) : 1, leftOf(limit, {}));
     });
 }
 
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -122,8 +122,7 @@
     /// @return whether to continue with the queue's other jobs.
     bool place(const QueueRange& range, const StartableJob& startable)
     {
-        auto& failedSearches = m_failedSearches[range.queue->key];
-        if (failedSearches >= maxFailedSearches)
+        if (m_failedSearches[range.queue->key] >= maxFailedSearches)
             return false;
         // Skips unplaceable jobs without a lookup, which keeps a long backlog cheap.
         if (m_placer.isExcluded(range.queue->service, startable))
@@ -135,10 +134,7 @@
             return true;
         }
         m_placer.setShares(shares, shares == nullptr ? 0 : shares->fullLevel());
-        auto result = m_placer.placeJob(*m_store.findJob(startable.id), *range.queue);
-        if (result == PlaceResult::NoRoom)
-            ++failedSearches;
-        if (result == PlaceResult::AtShare)
+        if (search(range, startable) == PlaceResult::AtShare)
             range.pool->defer(range, startable);
         return true;
     }
@@ -180,20 +176,23 @@
         };
         for (CustomerNumber customer = 1; customer < backlogs.size(); ++customer)
             addTurn(customer);
-        while (!turns.empty() && hasRoomForDeferred(service, pool)) {
+        while (!turns.empty()) {
             auto customer = turns.top().customer;
             turns.pop();
             auto stopLevel = turns.empty() ? std::numeric_limits<double>::infinity()
                                            : turns.top().level + pool.shares->fullLevel() / turnsPerShare;
             m_placer.setShares(&*pool.shares, stopLevel);
             auto& backlog = backlogs[customer];
-            while (!backlog.isEmpty() && hasRoomForDeferred(service, pool)) {
-                if (placeDeferred(backlog.jobs[backlog.next]) == PlaceResult::AtShare)
-                    break;
+            do {
+                const auto& job = backlog.jobs[backlog.next];
+                if (mayPlace(job)) {
+                    if (search(*job.range, *job.startable) == PlaceResult::AtShare)
+                        break;
+                } else if (!hasRoomForDeferred(service, pool)) {
+                    return;
+                }
                 ++backlog.next;
-                if (pool.shares->level(customer) >= stopLevel)
-                    break;
-            }
+            } while (!backlog.isEmpty() && pool.shares->level(customer) < stopLevel);
             addTurn(customer);
         }
     }
@@ -205,15 +204,17 @@
         return !pool.deferred.empty() && !m_placer.isWithoutRoom(service, pool.minDemand);
     }
 
-    PlaceResult placeDeferred(const DeferredJob& job)
+    bool mayPlace(const DeferredJob& job)
     {
-        auto& failedSearches = m_failedSearches[job.range->queue->key];
-        if (failedSearches >= maxFailedSearches
-            || m_placer.isExcluded(job.range->queue->service, *job.startable))
-            return PlaceResult::Done;
-        auto result = m_placer.placeJob(*m_store.findJob(job.startable->id), *job.range->queue);
+        return m_failedSearches[job.range->queue->key] < maxFailedSearches
+            && !m_placer.isExcluded(job.range->queue->service, *job.startable);
+    }
+
+    PlaceResult search(const QueueRange& range, const StartableJob& startable)
+    {
+        auto result = m_placer.placeJob(*m_store.findJob(startable.id), *range.queue);
         if (result == PlaceResult::NoRoom)
-            ++failedSearches;
+            ++m_failedSearches[range.queue->key];
         return result;
     }
 
--- a/src/jobs/TaskPlacer.cpp
+++ b/src/jobs/TaskPlacer.cpp
@@ -91,7 +91,7 @@
     m_needsAdvice = queue.needsAdvice;
     m_customer = job.customer;
     m_dataCentre = dataCentreOf(job);
-    auto startsBefore = m_starts.size();
+    m_firstStart = m_starts.size();
     bool hasSearched = false;
     for (const auto& [occurrence, steps] : job.occurrences) {
         for (std::size_t i = 0; i < steps.size(); ++i) {
@@ -111,30 +111,31 @@
                 // The tasks of a job that is resumed may all have been placed before.
                 hasSearched = hasSearched || keptStarts(first) == nullptr;
                 if (!placeStep(spec, steps[i], first, queue.service)) {
-                    keepStarts(startsBefore);
+                    keepStarts();
                     return PlaceResult::AtShare;
                 }
             }
         }
     }
-    return hasSearched && m_starts.size() == startsBefore ? PlaceResult::NoRoom : PlaceResult::Done;
+    return hasSearched && m_starts.size() == m_firstStart ? PlaceResult::NoRoom : PlaceResult::Done;
 }
 
 bool TaskPlacer::isAtShare() const
 {
-    return m_shares != nullptr && m_shares->level(m_customer) >= m_stopLevel;
+    return m_shares != nullptr && m_starts.size() != m_firstStart
+        && m_shares->level(m_customer) >= m_stopLevel;
 }
 
-void TaskPlacer::keepStarts(std::size_t first)
+void TaskPlacer::keepStarts()
 {
-    for (auto i = first; i < m_starts.size(); ++i) {
+    for (auto i = m_firstStart; i < m_starts.size(); ++i) {
         auto step = m_starts[i].run.task;
         step.index = 0;
-        m_keptStarts[step].push_back(m_starts[i]);
+        m_keptStarts[step].push_back(i);
     }
 }
 
-const std::vector<StartRun>* TaskPlacer::keptStarts(const TaskName& step) const
+const std::vector<std::size_t>* TaskPlacer::keptStarts(const TaskName& step) const
 {
     auto found = m_keptStarts.find(step);
     return found == m_keptStarts.end() ? nullptr : &found->second;
@@ -202,6 +203,8 @@
     // A gang restarts only after all runs of its earlier start have ended.
     if (spec.isGang && (step.active > 0 || kept != nullptr))
         return true;
+    if (isAtShare())
+        return false;
     bool isSpread = spec.maxPerRunner != 0 || spec.isLongRunning;
     auto onRunner = isSpread ? tasksByRunner(step) : std::map<std::string, std::uint32_t> {};
     std::uint32_t lastRun = 0;
@@ -210,13 +213,14 @@
     m_rack = spec.sameRack ? chooseRack(spec, step, pool) : std::string();
     std::set<std::uint32_t> isKept;
     if (kept != nullptr) {
-        for (const auto& start : *kept) {
+        for (auto i : *kept) {
+            const auto& start = m_starts[i];
             isKept.insert(start.run.task.index);
             if (isSpread)
                 ++onRunner[start.incarnation.runner];
         }
         if (spec.sameRack)
-            m_rack = m_candidates.find(kept->front().incarnation.runner)->rack;
+            m_rack = m_candidates.find(m_starts[kept->front()].incarnation.runner)->rack;
     }
     auto firstStart = m_starts.size();
     std::vector<PlacementCandidate> candidatesBefore;
@@ -224,6 +228,8 @@
         const auto& task = step.tasks[name.index];
         if (task.isDone || !task.runs.empty() || isKept.count(name.index) != 0)
             continue;
+        if (!spec.isGang && isAtShare())
+            return false;
         if (!spec.isGang && !m_quota.fits(m_customer, quotaDemandOf(spec), 1))
             return true; // The rest of the step follows when runs of the customer have ended.
         const auto* candidate = chooseRunner(spec, name, pool, onRunner);
@@ -235,8 +241,6 @@
             // The tasks of a gang share one run number.
             auto run = (spec.isGang ? lastRun : task.lastRun) + 1;
             addStart(spec, { name, run }, *candidate);
-            if (!spec.isGang && isAtShare())
-                return false;
         } else if (spec.isGang) {
             withdrawStarts(spec, firstStart, candidatesBefore);
             return true;
@@ -247,7 +251,7 @@
             return true; // The other tasks of the step have the same demand.
         }
     }
-    return !(spec.isGang && isAtShare());
+    return true;
 }
 
 void TaskPlacer::addStart(const StepSpec& spec, const RunName& run, const PlacementCandidate& candidate)
--- a/test/AdvicePlanTest.cpp
+++ b/test/AdvicePlanTest.cpp
@@ -1,6 +1,7 @@
 #include "celeryline/jobs/AdvicePlan.h"
 
 #include "AdviceSimulation.h"
+#include "CustomerKit.h"
 #include "celeryline/jobs/StartPlan.h"
 
 #include <catch2/catch.hpp>
@@ -111,6 +112,26 @@
     REQUIRE(pools.next(late) == "a.0");
 }
 
+// Guards against calls for a customer at its limit, whose tickets expire while steps of others wait.
+TEST_CASE("The service isn't asked about steps of a customer at its limit", "[advice][quota]")
+{
+    TwoPools pools;
+    auto configuration = pools.store.configuration();
+    configuration.version = 3;
+    configuration.customers = makeCustomerConfiguration({ "a", "b" }).customers;
+    configuration.customers[0].limit.cpuMilli = 1500;
+    pools.store.apply(AcceptConfiguration { configuration }, {});
+    auto submit = [&](const std::string& id, const std::string& customer, Millis submittedAt) {
+        pools.store.apply(SubmitJob { makeCustomerJob(id, customer, { makeStep(1) }), submittedAt }, {});
+    };
+    submit("running", "a", wallNow);
+    submit("held", "a", wallNow - Millis { 200 });
+    submit("other", "b", wallNow - Millis { 100 });
+    REQUIRE(pools.next() == "held.0");
+    pools.store.apply(StartRun { { { "running", 0, 0, 0 }, 1 }, { "r", { 1 } } }, {});
+    REQUIRE(pools.next() == "other.0");
+}
+
 // Guards against tickets for steps whose turn comes only after the tickets have expired.
 TEST_CASE("A step is asked about in advance once all tasks before it have started", "[advice]")
 {
--- a/test/JobMasterWaitsTest.cpp
+++ b/test/JobMasterWaitsTest.cpp
@@ -1,6 +1,6 @@
 #include "celeryline/jobs/JobMaster.h"
 
-#include "JobKit.h"
+#include "CustomerKit.h"
 
 #include <catch2/catch.hpp>
 
@@ -155,3 +155,26 @@
     REQUIRE(kit.master.waits().empty());
     REQUIRE(kit.master.oldestWait() == Millis {});
 }
+
+// Guards against machines that are moved for a job that its customer's limit holds back: waits() decides
+// that.
+TEST_CASE("Waits for a limit are apart from those for capacity", "[master][waits][quota]")
+{
+    JobMasterFixture kit;
+    auto configuration = makeCustomerConfiguration({ "a" }, 2);
+    configuration.customers[0].limit.cpuMilli = 1000;
+    kit.store.apply(AcceptConfiguration { configuration }, {});
+    kit.report(makeReport("r", 1));
+    kit.submit(makeCustomerJob("running", "a", { makeStep(1) }));
+    kit.submit(makeCustomerJob("held", "a", { makeStep(1) }));
+    REQUIRE(kit.store.useOfCustomer("a").running.cpuMilli == 1000);
+    kit.advance({ 1000 });
+    REQUIRE(kit.master.waits().empty());
+    REQUIRE(kit.master.oldestWait() == Millis {});
+    REQUIRE(kit.master.quotaWaits().size() == 1);
+    REQUIRE(kit.master.quotaWaits()[0].task.job == "held");
+    kit.advance({ 1000 });
+    REQUIRE(kit.master.oldestQuotaWait() == Millis { 1000 });
+    kit.log.leads = false;
+    REQUIRE(kit.master.oldestQuotaWait() == Millis {});
+}
