Rig: keys that are withdrawn and added again, unknown keys that flood an entry

Cause: no test with real processes used API keys.

Users of a key that stays, of one that changes and of a public route check each answer against the times of acknowledged versions plus config_apply_ms; another customer's job can't be reached; no log contains a key.

--- a/test/platform_rig/callers.py
+++ b/test/platform_rig/callers.py
@@ -1,4 +1,6 @@
 """Stand-in callers: clients that submit, read and cancel jobs, an operator, and a reader of the configuration."""
+import base64
+import os
 import random
 import threading
 import time
@@ -15,12 +17,18 @@
 RETRY_DELAY = 0.2
 
 
-def route(name, prefix, service):
+def route(name, prefix, service, **fields):
     return {"name": name, "host": HOST, "path_prefix": prefix, "kind": "mutating", "timeout_ms": CLIENT_TIMEOUT_MS,
-            "slo_ms": 3000, "priority": 0, "service": service, "attempts": 3, "stretch": 1.6}
+            "slo_ms": 3000, "priority": 0, "service": service, "attempts": 3, "stretch": 1.6, **fields}
 
 
-def configuration(version, base_routes):
+def caller_headers(key=""):
+    """Returns the headers of a caller's request; key: its API key, empty for none."""
+    headers = {"Host": HOST, "Timeout-Ms": str(CLIENT_TIMEOUT_MS)}
+    return {**headers, "Authorization": f"Bearer {key}"} if key else headers
+
+
+def configuration(version, base_routes, customers=()):
     """Returns a whole configuration; each version adds a route of its own."""
     first = max(1, version - ADDED_ROUTES)
     added = [route(f"r-{v}", f"/added-{v}/", SERVICES[0]) for v in range(first, version + 1)]
@@ -28,7 +36,8 @@
                  "rejects_overload": True, "standby": False} for name in SERVICES]
     limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000,
               "idle_timeout_ms": 15000}
-    return {"version": version, "routes": base_routes + added, "services": services, "limits": limits}
+    document = {"version": version, "routes": base_routes + added, "services": services, "limits": limits}
+    return {**document, "tenants": list(customers)} if customers else document
 
 
 class Caller:
@@ -65,6 +74,9 @@
         super().__init__(site, ledger, seed)
         self.interval = interval
         self.version = 0
+        self.customers = ()
+        self.routes = self.BASE_ROUTES
+        self.filler_bytes = 0  # Random bytes in each version, so that the log grows and snapshots are taken.
 
     def act(self):
         self.apply(self.stopping.is_set)
@@ -73,7 +85,9 @@
     def apply(self, should_stop=lambda: False):
         """Sends one new version until it is acknowledged; returns it, or 0 if it was given up."""
         self.version += self.random.randint(1, 3)
-        document = configuration(self.version, self.BASE_ROUTES)
+        document = configuration(self.version, self.routes, self.customers)
+        if self.filler_bytes:
+            document["comment"] = base64.b64encode(os.urandom(self.filler_bytes)).decode()
         self.ledger.on_config_sent(self.version, document)
         while not should_stop():
             answer = call("PUT", self.random.choice(self.site.listed_controls()), "/config", document)
@@ -132,6 +146,7 @@
 
     def __init__(self, site, ledger, seed):
         super().__init__(site, ledger, seed)
+        self.key = ""
         self.completed = []
         self.finish_by = 0.0
 
@@ -162,8 +177,8 @@
     def send(self, method, service, job, body=None):
         entries = self.site.running_entries() or self.site.entries
         address = self.random.choice(entries).front
-        headers = {"Host": HOST, "Timeout-Ms": str(CLIENT_TIMEOUT_MS)}
-        return call(method, address, f"/{service}/{job}", body, headers, timeout=CLIENT_TIMEOUT_MS / 1000)
+        return call(method, address, f"/{service}/{job}", body, caller_headers(self.key),
+                    timeout=CLIENT_TIMEOUT_MS / 1000)
 
     def submit(self, service, job, text, steps):
         """Sends a job again while its fate is unclear; returns whether it was accepted."""
--- a/test/platform_rig/rig.py
+++ b/test/platform_rig/rig.py
@@ -4,7 +4,7 @@
 import time
 
 from platform_rig import faults
-from platform_rig.callers import HOST, SERVICES, Client, ConfigReader, Operator
+from platform_rig.callers import SERVICES, Client, ConfigReader, Operator, caller_headers
 from platform_rig.calls import call
 from platform_rig.ledger import Ledger
 from platform_rig.machines import FRONT_PORT
@@ -34,6 +34,15 @@
         self.reader = ConfigReader(self.site, self.ledger, seed + 1)
         self.clients = [Client(self.site, self.ledger, 1000 * seed + i) for i in range(clients)]
         self.watch = None
+        self.key = ""
+
+    def use_customers(self, customers, key, routes=()):
+        """Starts the site with customers; key: the API key of all callers; routes: to be added."""
+        self.operator.customers = customers
+        self.operator.routes = [*self.operator.routes, *routes]
+        self.key = key
+        for client in self.clients:
+            client.key = key
 
     def note(self, text):
         self.notes.append(f"{self.site.now():.2f} s: {text}")
@@ -58,6 +67,7 @@
         """Submits a job with tasks that last, again while it is refused for the time being; fields: of its step."""
         steps = [{"count": LONG_JOB_TASKS, "cpu": 200, "mem_mb": 64, "estimate_ms": 1000, "long_running": True, **fields}]
         submitter = Client(self.site, self.ledger, 0)
+        submitter.key = self.key
         self.wait(lambda: submitter.submit(service, job, "work 0", steps), RECOVERY, f"job {job} is accepted")
 
     def wait(self, condition, seconds, what):
@@ -127,8 +137,7 @@
                          APPLY_TIME, f"CONFIG: every entry process serves the route of version {version}")
 
     def _serves_route(self, machine, version):
-        headers = {"Host": HOST}
-        return call("GET", machine.address(FRONT_PORT), f"/added-{version}/", None, headers).is_ok
+        return call("GET", machine.address(FRONT_PORT), f"/added-{version}/", None, caller_headers(self.key)).is_ok
 
     def _diagnose(self):
         """Writes down whose votes may be missing: what the remaining processes say, and what brings a leader back."""
--- a/test/platform_rig/scenarios.py
+++ b/test/platform_rig/scenarios.py
@@ -8,6 +8,7 @@
 from platform_rig.crowds import CROWD_SCENARIOS, CROWD_SIZES
 from platform_rig.faults import MARGIN, choose_slot, wait_for_room
 from platform_rig.handovers import HANDOVER_SCENARIOS, HANDOVER_SIZES
+from platform_rig.keys import KEY_SCENARIOS
 from platform_rig.late_requests import LATE_REQUEST_SCENARIOS, LATE_REQUEST_SIZES
 from platform_rig.provider import Provider
 from platform_rig.rig import Rig
@@ -155,7 +156,7 @@
 SCENARIOS = [replacement_series, replacement_series_silent, replacement_series_kill_all, replacement_series_planned,
              replacement_series_four, replacement_series_eight, replacement_series_paused,
              replacement_series_silent_paused, mixed, mixed_four, mixed_eight, *HANDOVER_SCENARIOS,
-             *LATE_REQUEST_SCENARIOS, *CROWD_SCENARIOS]
+             *LATE_REQUEST_SCENARIOS, *KEY_SCENARIOS, *CROWD_SCENARIOS]
 FOUR = {"controls": 4}
 EIGHT = {"controls": 8, "tolerance": 2, "entries": 3}
 SIZES = {"replacement_series_four": FOUR, "mixed_four": FOUR, "replacement_series_eight": EIGHT, "mixed_eight": EIGHT,
