Docs: API keys

Cause: nothing said how keys are checked, where their state lives and what the limits on unknown credentials and early cancellations are.

A comment's memory figure is replaced by a measured one.

--- a/include/celeryline/customers/CredentialGate.h
+++ b/include/celeryline/customers/CredentialGate.h
@@ -29,7 +29,7 @@
     /// Time after a response 401 for which tokens are needed. Where the configuration has no customers there
     /// are no such responses, and nothing is refused. In this time an empty bucket fills three times.
     Millis activeTime { 60000 };
-    /// Limit on remembered keys, each counted once for each queue. About 5 MB of memory.
+    /// Limit on remembered keys, each counted once for each queue; 3.2 MB of memory.
     std::size_t maxKeys = 32768;
     /// Limit on remembered queues that can be used without a key.
     std::size_t maxQueues = 4096;
