Mend what a review of the merged parts found, machines that are late by a pause

A machine that waits for the end of a task isn't paused when the pause would make it late.

The tests of the parts concerned pass.

--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -166,6 +166,9 @@
     void logProviderLost();
     bool isPaused(const std::string& machine) const;
     bool shouldPause(const std::string& machine, Operation& operation, const RunnerUse& use);
+    /// @return whether a machine of the wave would be late if it took tasks for a while. Once the deadline
+    /// has passed, pauses make no machine late any more.
+    bool isPauseTooLong(std::uint64_t wave) const;
     bool isCapacityNeeded(const std::string& machine, const RunnerUse& use) const;
     void pause(const std::string& machine, Operation& operation);
     void endOrRestart(const std::string& machine, Operation& operation);
--- a/include/celeryline/machines/PoolPlan.h
+++ b/include/celeryline/machines/PoolPlan.h
@@ -38,6 +38,7 @@
     bool isPinned = false; ///< It runs long-running tasks, or has another operation pending.
     bool isNewInPool = false; ///< It arrived so recently that its tasks have hardly begun.
     std::int64_t inUse = 0; ///< Thousandths of a core in use.
+    bool isEmpty = true; ///< It runs nothing, not even tasks that reserve no CPU.
 };
 
 /// A move of a machine to another pool.
--- a/src/control/LeaderClient.cpp
+++ b/src/control/LeaderClient.cpp
@@ -5,6 +5,7 @@
 #include "celeryline/settings/EventLog.h"
 
 #include <algorithm>
+#include <array>
 
 namespace celeryline {
 namespace {
@@ -14,12 +15,12 @@
 constexpr std::size_t maxLoggedMalformed = 16;
 constexpr std::size_t maxLoggedAddressLength = 64; ///< In bytes.
 
-/// @return whether a response says that a request with effects was not executed because of its key, its route
-/// or the owner of its job. That holds for the last attempt only: an earlier one may have been executed under
-/// the configuration of that time.
-bool deniesAccess(const ForwardedRequest& request, std::uint16_t status)
+/// @return whether a response says that a request with effects was not executed. That holds for the last
+/// attempt only: an earlier one may have been executed by another leader or under another configuration.
+bool claimsNotExecuted(const ForwardedRequest& request, std::uint16_t status)
 {
-    return request.method != "GET" && (status == 401 || status == 403 || status == 404 || status == 409);
+    constexpr std::array<std::uint16_t, 8> refusals { 400, 401, 403, 404, 409, 422, 429, 503 };
+    return request.method != "GET" && std::find(refusals.begin(), refusals.end(), status) != refusals.end();
 }
 
 } // namespace
@@ -115,7 +116,7 @@
         [this, pending, target](CallResult<ForwardedResponse>&& call) -> kj::Promise<ForwardedResponse> {
             if (call.hasResult && call.result.outcome == ForwardOutcome::Answered) {
                 onLeaderResponse(target);
-                if (pending->mayHaveRun && deniesAccess(pending->request, call.result.status))
+                if (pending->mayHaveRun && claimsNotExecuted(pending->request, call.result.status))
                     return makeUnansweredResponse(*pending);
                 return kj::mv(call.result);
             }
--- a/src/jobs/CustomerUse.cpp
+++ b/src/jobs/CustomerUse.cpp
@@ -21,7 +21,9 @@
 
 bool needsOverHalf(const Resources& limit, const Resources& demand, std::int64_t count)
 {
-    Resources half { limit.cpuMilli / 2, limit.memoryMb / 2, limit.accelerators / 2 };
+    // Rounded up, so that what remains of an odd limit is not more than its half.
+    Resources half { limit.cpuMilli - limit.cpuMilli / 2, limit.memoryMb - limit.memoryMb / 2,
+        limit.accelerators - limit.accelerators / 2 };
     return !isWithin(demand, count, leftOf(limit, half));
 }
 
--- a/src/jobs/TaskPlacer.cpp
+++ b/src/jobs/TaskPlacer.cpp
@@ -3,6 +3,7 @@
 #include "celeryline/jobs/TaskFit.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace celeryline {
@@ -122,7 +123,8 @@
 
 bool TaskPlacer::isAtShare() const
 {
-    return m_shares != nullptr && m_starts.size() != m_firstStart
+    // Customers of weight 0 come last and aren't interrupted.
+    return m_shares != nullptr && !std::isinf(m_stopLevel) && m_starts.size() != m_firstStart
         && m_shares->level(m_customer) >= m_stopLevel;
 }
 
--- a/src/machines/DemandHistory.cpp
+++ b/src/machines/DemandHistory.cpp
@@ -11,6 +11,9 @@
 /// Without a factor, two pools of similar demand would take the lead from each other with every job.
 constexpr double leadFactor = 1.5;
 constexpr std::int64_t rotationsKept = 3;
+/// A machine can't be sent to standby and return in less, so a shorter rotation is of no use. Light loads
+/// show rotations of parts of a second by chance.
+constexpr Millis minRotation { 8000 };
 
 } // namespace
 
@@ -25,7 +28,7 @@
     addSample(demand, now);
     noteLeader(now);
     auto kept = m_rotation.count == 0 ? maxObservation : Millis { rotationsKept * m_rotation.count };
-    while (m_samples.front().from + kept < now)
+    while (m_samples.size() > 1 && m_samples.front().from + kept < now)
         m_samples.pop_front();
 }
 
@@ -57,7 +60,7 @@
     if (m_first.empty()) {
         m_first = m_leader;
         m_firstLedAt = now;
-    } else if (m_leader == m_first && haveAllLed()) {
+    } else if (m_leader == m_first && haveAllLed() && now >= m_firstLedAt + minRotation) {
         m_rotation = now - m_firstLedAt;
         m_firstLedAt = now;
         m_ledInRotation.clear();
--- a/src/machines/MachineMasterOrders.cpp
+++ b/src/machines/MachineMasterOrders.cpp
@@ -142,7 +142,9 @@
     bool waitsForEnd = use.runs > use.longRunning.size();
     if (now < operation.since + (waitsForEnd ? maxWaitForTaskEnd : maxWaitForRecall))
         return false;
-    if (!waitsForEnd && !isCapacityNeeded(machine, use))
+    // Near the deadline a pause makes the machine late: it takes new tasks, which must end in turn.
+    bool mayWaitLonger = !waitsForEnd || isPauseTooLong(operation.wave);
+    if (mayWaitLonger && !isCapacityNeeded(machine, use))
         return false;
     // The capacity that one machine releases may suffice for the tasks of the others.
     if (now < m_nextPauseAt)
@@ -151,6 +153,17 @@
     return true;
 }
 
+bool MachineMaster::isPauseTooLong(std::uint64_t wave) const
+{
+    auto found = m_store.waves().find(wave);
+    if (found == m_store.waves().end())
+        return false;
+    auto deadline = found->second.order.startedAt + found->second.order.deadline;
+    auto needed = pauseAfterFailedDrain + maxWaitForTaskEnd + m_options.upkeepDuration;
+    auto now = m_clock().wall;
+    return now <= deadline && now + needed > deadline;
+}
+
 bool MachineMaster::isCapacityNeeded(const std::string& machine, const RunnerUse& use) const
 {
     // Long-running tasks of one step are recalled one at a time; that wait is no lack of capacity.
--- a/src/machines/MachineMasterPools.cpp
+++ b/src/machines/MachineMasterPools.cpp
@@ -127,6 +127,7 @@
         machine.isPinned = !use.longRunning.empty() || isPinned(name);
         machine.isNewInPool = !machine.isStandby && now < known.inPoolSince + m_options.minPoolStay;
         machine.inUse = use.reserved.cpuMilli;
+        machine.isEmpty = use.isEmpty;
         machines.push_back(std::move(machine));
     }
     return machines;
--- a/src/machines/StandbyPlan.cpp
+++ b/src/machines/StandbyPlan.cpp
@@ -208,7 +208,8 @@
     };
     for (const auto& machine : input.machines) {
         const auto& base = machine.base;
-        bool isIdle = !base.isStandby && !base.isPinned && !base.isNewInPool && base.inUse == 0;
+        bool isIdle
+            = !base.isStandby && !base.isPinned && !base.isNewInPool && base.isEmpty && base.inUse == 0;
         if (!isIdle || !machine.mayBeSent || base.milliCores > surplus || chosen.count(base.machine) != 0
             || scarce.count(machine.kind) != 0 || !canSend(machine, states.at(base.pool), options))
             continue;
--- a/test/StalledMachineTest.cpp
+++ b/test/StalledMachineTest.cpp
@@ -300,3 +300,21 @@
         stillReserved += runner.runCount() == 1 ? 1 : 0;
     REQUIRE(stillReserved == 0);
 }
+
+// Guards against a machine that takes new tasks shortly before the deadline of its wave, and is late by them.
+TEST_CASE("A machine that waits for the end of a task isn't paused near the deadline", "[progress]")
+{
+    WaveFixture fixture;
+    fixture.addMachine("m", "r");
+    TimedRunner runner(fixture, "r", 8000);
+    auto report = [&] { runner.report(); };
+    advanceTime(fixture, 1000, report);
+    fixture.submit(makeJob("long", { makeStep(1, 3000) }));
+    advanceTime(fixture, 1000, report);
+    REQUIRE(runner.runCount() == 1);
+    fixture.startWave({ "m" }, 1, { 12000 });
+    // With a pause after 6 s, the small job would start here and hold the machine beyond the deadline.
+    fixture.submit(makeJob("small", { makeStep(1) }));
+    advanceTime(fixture, 10000, report);
+    REQUIRE(fixture.provider.isOrdered("m"));
+}
