--- a/test/StalledMachineTest.cpp
+++ b/test/StalledMachineTest.cpp
@@ -301,20 +301,27 @@
     REQUIRE(stillReserved == 0);
 }
 
-// Guards against a machine that takes new tasks shortly before the deadline of its wave, and is late by them.
+// Guards against a machine that takes new tasks shortly before the deadline of its wave, and is late by them,
+// although another machine has room for them.
 TEST_CASE("A machine that waits for the end of a task isn't paused near the deadline", "[progress]")
 {
     WaveFixture fixture;
     fixture.addMachine("m", "r");
-    TimedRunner runner(fixture, "r", 8000);
-    auto report = [&] { runner.report(); };
-    advanceTime(fixture, 1000, report);
+    TimedRunner runner(fixture, "r", 60000);
+    advanceTime(fixture, 1000, [&] { runner.report(); });
     fixture.submit(makeJob("long", { makeStep(1, 3000) }));
-    advanceTime(fixture, 1000, report);
+    advanceTime(fixture, 1000, [&] { runner.report(); });
     REQUIRE(runner.runCount() == 1);
+    fixture.addMachine("other", "r2");
+    TimedRunner other(fixture, "r2", 60000);
+    auto report = [&] {
+        runner.report();
+        other.report();
+    };
     fixture.startWave({ "m" }, 1, { 12000 });
-    // With a pause after 6 s, the small job would start here and hold the machine beyond the deadline.
-    fixture.submit(makeJob("small", { makeStep(1) }));
-    advanceTime(fixture, 10000, report);
-    REQUIRE(fixture.provider.isOrdered("m"));
+    advanceTime(fixture, 9000, report);
+    fixture.submit(makeJob("small", { makeStep(1) })); // Fits closest on the first runner.
+    advanceTime(fixture, 1000, report);
+    REQUIRE(runner.runCount() == 1);
+    REQUIRE(other.runCount() == 1);
 }
