--- a/src/jobs/JobStoreSnapshot.cpp
+++ b/src/jobs/JobStoreSnapshot.cpp
@@ -62,13 +62,13 @@
             archive(restored.m_cancelledIds);
         if (!isAtEnd())
             archive(fields);
+        restored.m_configuration.customers = std::move(fields.customers);
+        for (auto& [id, customer] : fields.jobs)
+            restored.m_jobs.at(id).spec.customer = std::move(customer);
     } catch (const std::exception& e) {
         throw Error(ErrorKind::Corrupt, std::string("a snapshot of the jobs can't be read: ") + e.what(),
             "run the same version on all instances");
     }
-    restored.m_configuration.customers = std::move(fields.customers);
-    for (auto& [id, customer] : fields.jobs)
-        restored.m_jobs.at(id).spec.customer = std::move(customer);
     restored.rebuildIndexes();
     for (const auto& [incarnation, leaseLeft] : silences)
         restored.applyCommand(NoteSilence { incarnation, leaseLeft }, {});
