--- a/include/celeryline/jobs/JobCommand.h
+++ b/include/celeryline/jobs/JobCommand.h
@@ -40,6 +40,7 @@
 /// submission may still be on the way; see CancelledJobIds.
 struct CancelJob {
     JobId job;
+    std::string customer {}; ///< Name of the customer that cancels it; empty for none.
 };
 
 /// Makes the tasks of one occurrence of a job eligible to start.
--- a/include/celeryline/jobs/JobStore.h
+++ b/include/celeryline/jobs/JobStore.h
@@ -60,6 +60,9 @@
     /// @return the ids of jobs that were cancelled before they were submitted.
     const CancelledJobIds& cancelledIds() const { return m_cancelledIds; }
 
+    /// @return the limit on the cancelled ids of one customer; see CancelledJobIds::partSize().
+    std::size_t cancelledIdsPart() const;
+
     /// @return the allocations of each incarnation of a runner; incarnations without any have no entry.
     const std::map<RunnerIncarnation, RunnerAllocation>& allocations() const { return m_allocations; }
 
--- a/src/jobs/JobCommand.cpp
+++ b/src/jobs/JobCommand.cpp
@@ -79,6 +79,9 @@
     const auto* submit = std::get_if<SubmitJob>(&command);
     if (submit != nullptr && !submit->job.customer.empty())
         fields.jobs.emplace_back(submit->job.id, submit->job.customer);
+    const auto* cancel = std::get_if<CancelJob>(&command);
+    if (cancel != nullptr && !cancel->customer.empty())
+        fields.jobs.emplace_back(cancel->job, cancel->customer);
     return fields;
 }
 
@@ -89,6 +92,9 @@
     auto* submit = std::get_if<SubmitJob>(&command);
     if (submit != nullptr && !fields.jobs.empty())
         submit->job.customer = std::move(fields.jobs.front().second);
+    auto* cancel = std::get_if<CancelJob>(&command);
+    if (cancel != nullptr && !fields.jobs.empty())
+        cancel->customer = std::move(fields.jobs.front().second);
 }
 
 std::string serializeCommand(const JobCommand& command)
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -63,12 +63,17 @@
 {
     auto* job = mutableJob(command.job);
     if (job == nullptr) {
-        m_cancelledIds.add(command.job);
+        m_cancelledIds.add(command.job, command.customer, cancelledIdsPart());
     } else if (job->phase == JobPhase::Open) {
         endJob(*job, JobPhase::Cancelled, time);
     }
 }
 
+std::size_t JobStore::cancelledIdsPart() const
+{
+    return CancelledJobIds::partSize(m_configuration.customers.size());
+}
+
 void JobStore::applyCommand(const OpenOccurrence& command, Millis)
 {
     auto* job = mutableJob(command.job);
--- a/src/jobs/JobStoreSnapshot.cpp
+++ b/src/jobs/JobStoreSnapshot.cpp
@@ -31,8 +31,11 @@
         if (!job->spec.customer.empty())
             fields.jobs.emplace_back(job->spec.id, job->spec.customer);
     }
-    if (!isEmpty(fields))
+    auto cancelledBy = m_cancelledIds.customers();
+    if (!isEmpty(fields) || !cancelledBy.empty())
         archive(fields);
+    if (!cancelledBy.empty())
+        archive(cancelledBy);
     return stream.str();
 }
 
@@ -41,6 +44,7 @@
     JobStore restored;
     std::map<RunnerIncarnation, Millis> silences;
     detail::CustomerFields fields;
+    std::vector<std::pair<JobId, std::string>> cancelledBy;
     std::istringstream stream(bytes);
     try {
         cereal::PortableBinaryInputArchive archive(stream);
@@ -62,6 +66,11 @@
             archive(restored.m_cancelledIds);
         if (!isAtEnd())
             archive(fields);
+        if (!isAtEnd())
+            archive(cancelledBy);
+        const auto& cancelled = restored.m_cancelledIds;
+        restored.m_cancelledIds
+            = CancelledJobIds::restore(cancelled.ids(), cancelled.forgotten(), cancelledBy);
         restored.m_configuration.customers = std::move(fields.customers);
         for (auto& [id, customer] : fields.jobs)
             restored.m_jobs.at(id).spec.customer = std::move(customer);
--- a/test/CustomerReplicationTest.cpp
+++ b/test/CustomerReplicationTest.cpp
@@ -181,6 +181,45 @@
     }
 }
 
+// Guards against replicas that differ in which cancellations they recorded: after a log with changing
+// customers, a restart from a snapshot at any point must give the same state.
+TEST_CASE("The customers of cancelled ids are part of log entries and snapshots", "[jobs][customers]")
+{
+    auto cancel = std::get<CancelJob>(decodeJobCommand(encodeJobCommand(CancelJob { "a", "ann" })));
+    REQUIRE(cancel.customer == "ann");
+    std::vector<JobCommand> log { CancelJob { "early" }, AcceptConfiguration { makeConfiguration(1) },
+        AcceptConfiguration { configurationWith(2, { ann, bob }) } };
+    for (std::size_t i = 0; i < CancelledJobIds::maxSize / 2; ++i)
+        log.emplace_back(CancelJob { "a" + std::to_string(i), "ann" });
+    log.emplace_back(CancelJob { "b", "bob" });
+    log.emplace_back(CancelJob { "n" });
+    log.emplace_back(AcceptConfiguration { configurationWith(3, { bob }) });
+    log.emplace_back(CancelJob { "a", "ann" }); // The customer was removed after the request was checked.
+    log.emplace_back(ForgetCancelledIds { 2 });
+    log.emplace_back(AcceptConfiguration { makeConfiguration(4) });
+    log.emplace_back(CancelJob { "z" });
+    JobStore store;
+    JobStore restarted;
+    for (std::size_t i = 0; i < log.size(); ++i) {
+        applyStored(store, log[i]);
+        applyStored(restarted, log[i]);
+        bool isRestart = i < 10 || i + 10 > log.size() || i % 4000 == 0;
+        if (!isRestart)
+            continue;
+        auto snapshot = restarted.takeSnapshot();
+        restarted = JobStore();
+        restarted.restoreSnapshot(snapshot);
+        REQUIRE(restarted.takeSnapshot() == store.takeSnapshot());
+    }
+    const auto& cancelled = store.cancelledIds();
+    REQUIRE(cancelled.sizeOf("ann") == CancelledJobIds::partSize(2)); // One of them forgotten, one added.
+    REQUIRE(cancelled.sizeOf("bob") == 1);
+    REQUIRE(cancelled.sizeOf("") == 2);
+    for (const auto* id : { "b", "n", "z", "a" })
+        REQUIRE(cancelled.contains(id));
+    REQUIRE_FALSE(cancelled.contains("early"));
+}
+
 // Guards against customers of an earlier version that stay in force after a version without customers.
 TEST_CASE("A configuration without customers removes all keys", "[jobs][customers]")
 {
--- a/test/platform/PlatformApiKeysTest.cpp
+++ b/test/platform/PlatformApiKeysTest.cpp
@@ -167,6 +167,25 @@
     REQUIRE(f.api.submit(job, "key-ann").status == 200);
 }
 
+// Guards against a customer that fills the record of early cancellations, so that all others get 503 for
+// theirs (eight connections filled it within seconds).
+TEST_CASE("A customer that cancels unknown jobs doesn't keep others from cancelling", "[platform][customers]")
+{
+    KeysFixture f;
+    f.api.fillCancelledIds("ann");
+    auto refused = f.api.call("DELETE", job, "", "key-ann");
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.retryAfter > Millis {});
+    REQUIRE(f.api.call("DELETE", job, "", "key-bob").status == 410);
+    REQUIRE(f.api.call("DELETE", publicJob).status == 410);
+    f.api.restart();
+    REQUIRE(f.api.call("DELETE", "/work/00000000000000c5", "", "key-ann").status == 503);
+    REQUIRE(f.api.submit(job, "key-bob").status == 200);
+    REQUIRE(f.api.store().openJobs().empty());
+    REQUIRE(f.api.submit("/work/00000000000000c5", "key-ann").status == 200);
+    REQUIRE(f.api.call("DELETE", "/work/00000000000000c5", "", "key-ann").status == 200);
+}
+
 // Guards against a restarted process that accepts a removed key or lost a valid one.
 TEST_CASE("Keys are the same after a restart", "[platform][customers]")
 {
