--- a/include/celeryline/jobs/JobMaster.h
+++ b/include/celeryline/jobs/JobMaster.h
@@ -2,6 +2,7 @@
 /// The leader's control of jobs and runners.
 #pragma once
 
+#include "celeryline/jobs/AdmissionControl.h"
 #include "celeryline/jobs/AdviceCache.h"
 #include "celeryline/jobs/BestEffortRate.h"
 #include "celeryline/jobs/CounterHistory.h"
@@ -134,6 +135,19 @@
     /// @param done called with the outcome.
     void request(JobCommand command, RequestCallback done);
 
+    /// Decides whether a submitted job is accepted. Only the configuration's customers make this necessary;
+    /// without them, and for known, long-running and scheduled jobs, the answer is yes. Call it once for each
+    /// submission, right before its request().
+    /// @param job the job.
+    /// @return the decision; refusals are logged.
+    JobAdmission admit(const JobSpec& job);
+
+    /// Sets the capacity that other machines can add to each pool.
+    /// @param reachable by pool, with steady times.
+    void setReachableCapacity(std::map<std::string, PoolForecast> reachable);
+
+    const AdmissionControl& admission() const { return m_admission; }
+
     /// Processes a runner's report.
     /// @param report the report.
     /// @param done called with the orders, or with nothing if this instance isn't the leader.
@@ -206,6 +220,7 @@
     bool namesKnownService(const RunnerReport& report) const;
     std::vector<JobCommand> endsOf(const RunnerReport& report) const;
     void commitEnds(const std::vector<JobCommand>& commands, const std::shared_ptr<PendingReport>& pending);
+    PoolCapacities poolCapacities() const;
     Resources reservedOn(const RunnerIncarnation& incarnation) const;
     WaitReason refusalOf(const std::string& runner, const RunnerState& state) const;
     PlacementCandidate candidateOf(const RunnerState& state) const;
@@ -297,6 +312,8 @@
     std::set<RunName> m_overdue; ///< Runs that are being replaced because they are stalled or slow.
     RunnerTrust m_trust;
     PlacementHints m_hints;
+    AdmissionControl m_admission;
+    std::map<std::string, PoolForecast> m_reachableCapacity; ///< By pool, with steady times.
     std::vector<PoolWait> m_waits; ///< As of the last check.
     std::vector<PoolWait> m_quotaWaits; ///< As of the last check.
     std::map<TaskName, Millis> m_waitingSince; ///< Steady time at which a step first appeared in a check.
--- a/include/celeryline/machines/MachineMaster.h
+++ b/include/celeryline/machines/MachineMaster.h
@@ -110,6 +110,8 @@
     bool checkAbsence(std::uint64_t wave, const std::string& machine);
     bool hasUpkeepBegun(const std::string& machine, const Operation& operation) const;
     void planMoves(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
+    /// Tells the JobMaster which capacity can be added to each pool.
+    void forecastCapacity(const std::vector<PoolDemand>& demands, const std::vector<PoolMachine>& machines);
     std::vector<PoolDemand> poolDemands();
     std::vector<PoolMachine> poolMachines() const;
     bool isAvailable(const MachineInfo& info) const;
--- a/src/jobs/JobMaster.cpp
+++ b/src/jobs/JobMaster.cpp
@@ -26,6 +26,7 @@
     , m_runners(std::max(options.runLease, options.runLeaseWhenLagging))
     , m_snapshotAppliedAt(m_clock().steady)
     , m_cancelledIdHistory(options.cancelledIdRetention)
+    , m_admission(store)
 {
 }
 
@@ -56,6 +57,8 @@
     m_quotaWaits.clear();
     m_waitingSince.clear();
     m_adviceCache.clear();
+    m_admission.startTerm();
+    m_reachableCapacity.clear();
 }
 
 void JobMaster::tick()
--- a/src/jobs/JobMasterHealth.cpp
+++ b/src/jobs/JobMasterHealth.cpp
@@ -122,6 +122,7 @@
     };
     dropEnded(m_replaced);
     dropEnded(m_overdue);
+    m_admission.durations().prune(m_store.configuration());
     auto isOver = [this](const TaskName& name) {
         const auto* task = m_store.findTask(name);
         return task == nullptr || task->isDone;
--- a/src/jobs/JobMasterSilence.cpp
+++ b/src/jobs/JobMasterSilence.cpp
@@ -15,6 +15,8 @@
 
 void JobMaster::onCommitted(const JobCommand& command)
 {
+    if (!m_store.configuration().customers.empty())
+        m_admission.durations().onCommitted(command, m_store, m_clock().steady);
     const auto* end = std::get_if<EndRun>(&command);
     if (end != nullptr && end->outcome == RunOutcome::Failed)
         avoidFailedRunner(*end);
@@ -34,6 +36,7 @@
     m_silenceAppliedAt.clear();
     m_cancelledIdHistory.clear();
     m_hints.failedOn.clear();
+    m_admission.durations().onSnapshot();
 }
 
 bool JobMaster::isUnheard(const RunnerIncarnation& incarnation) const
--- a/src/machines/MachineMaster.cpp
+++ b/src/machines/MachineMaster.cpp
@@ -198,6 +198,7 @@
         planMoves(wanted, machines);
     }
     planStandby(wanted, machines);
+    forecastCapacity(wanted, machines);
     updateReservedRunners();
 }
 
--- a/test/SingleApi.h
+++ b/test/SingleApi.h
@@ -58,6 +58,7 @@
     }
 
     const JobStore& store() const { return m_node->node().store(); }
+    JobMaster& master() { return m_node->node().master(); }
 
     /// Cancels jobs that nobody submits, until their record has no more room for a customer.
     void fillCancelledIds(const std::string& customer = "")
--- a/test/platform/PlatformApiTest.cpp
+++ b/test/platform/PlatformApiTest.cpp
@@ -88,3 +88,29 @@
     REQUIRE(api.store().jobCount() == 0);
     REQUIRE(submit(jobPath, R"("count":2)") == 200);
 }
+
+// Guards against a refusal that was accepted, has no time to come back, or hits the retry of an accepted job.
+TEST_CASE("A job that can't end in time is refused with a time to come back", "[platform][api][admission]")
+{
+    SingleApi api;
+    auto configuration = api.store().configuration();
+    configuration.version = 2;
+    configuration.customers.push_back({ "small", { "secret" }, 1, 0, {} });
+    api.accept(configuration);
+    REQUIRE(api.submit(jobPath).status == 200);
+    // In its first seconds a leader judges pools with waiting tasks only.
+    api.master().startTerm();
+    auto report = makeReport("r", 1);
+    report.capacity = { 500, 500, 0 };
+    api.master().report(report, [](const std::optional<RunnerOrders>&) {});
+    ForwardedResponse response;
+    std::string path;
+    for (int i = 0; i < 20 && (response.status == 0 || response.status == 200); ++i) {
+        path = "/work/00000000000000d" + std::string(1, "0123456789abcdef"[i % 16]);
+        response = api.submit(path);
+    }
+    REQUIRE(response.status == 503);
+    REQUIRE(response.retryAfter > Millis {});
+    REQUIRE(api.store().findJob(path.substr(6)) == nullptr);
+    REQUIRE(api.submit(jobPath).status == 200);
+}
