--- a/include/celeryline/jobs/JobCommand.h
+++ b/include/celeryline/jobs/JobCommand.h
@@ -24,7 +24,8 @@
     Lost ///< The runner exited or restarted while the run was active.
 };
 
-/// Activates a configuration if its version is higher than the current one.
+/// Activates a configuration if its version is higher than the current one, or if it adds the customers that
+/// an earlier version of celeryline has ignored in the current one.
 struct AcceptConfiguration {
     QueueConfiguration configuration;
 };
--- a/include/celeryline/jobs/QueueSettings.h
+++ b/include/celeryline/jobs/QueueSettings.h
@@ -66,6 +66,25 @@
         [&](const PoolSettings& pool) { return pool.service == service; });
 }
 
+/// @param configuration a configuration.
+/// @return whether some of its queues require a key, or could.
+inline bool usesKeys(const QueueConfiguration& configuration)
+{
+    return !configuration.customers.empty()
+        || std::any_of(configuration.queues.begin(), configuration.queues.end(),
+            [](const QueueSettings& queue) { return queue.requiresKey; });
+}
+
+/// @param complete a configuration.
+/// @param current the configuration in force.
+/// @return whether the first one is the same version, decoded with its customers, which earlier versions of
+/// celeryline ignored.
+inline bool addsCustomers(const QueueConfiguration& complete, const QueueConfiguration& current)
+{
+    return complete.version == current.version && complete.document == current.document && usesKeys(complete)
+        && !usesKeys(current);
+}
+
 /// @param configuration a configuration.
 /// @param key key of a queue.
 /// @return the queue, or null if no queue has this key.
--- a/src/jobs/JobStore.cpp
+++ b/src/jobs/JobStore.cpp
@@ -17,7 +17,8 @@
 
 void JobStore::applyCommand(const AcceptConfiguration& command, Millis)
 {
-    if (command.configuration.version <= m_configuration.version)
+    if (command.configuration.version <= m_configuration.version
+        && !addsCustomers(command.configuration, m_configuration))
         return;
     m_configuration = command.configuration;
     m_apiKeys = ApiKeyIndex(m_configuration.customers);
--- a/test/CustomerReplicationTest.cpp
+++ b/test/CustomerReplicationTest.cpp
@@ -220,6 +220,24 @@
     REQUIRE_FALSE(cancelled.contains("early"));
 }
 
+// Guards against replicas that differ after an upgrade, and against a version that changes after it was
+// accepted.
+TEST_CASE("The same version is accepted again only to add its customers", "[jobs][customers]")
+{
+    JobStore store;
+    applyStored(store, AcceptConfiguration { makeConfiguration(2) });
+    auto other = configurationWith(2, { ann });
+    other.document = "another document";
+    applyStored(store, AcceptConfiguration { other });
+    applyStored(store, AcceptConfiguration { configurationWith(1, { ann }) });
+    REQUIRE(store.apiKeys().size() == 0);
+    applyStored(store, AcceptConfiguration { configurationWith(2, { ann }) });
+    REQUIRE(*store.apiKeys().find("key-ann") == "ann");
+    applyStored(store, AcceptConfiguration { configurationWith(2, { bob }) });
+    applyStored(store, AcceptConfiguration { makeConfiguration(2) });
+    REQUIRE(store.configuration().customers == std::vector<CustomerSettings> { ann });
+}
+
 // Guards against customers of an earlier version that stay in force after a version without customers.
 TEST_CASE("A configuration without customers removes all keys", "[jobs][customers]")
 {
--- a/test/SingleApi.h
+++ b/test/SingleApi.h
@@ -57,6 +57,17 @@
         return m_api->handle(request).wait(m_io.waitScope);
     }
 
+    /// Commits a configuration that was decoded elsewhere.
+    void accept(const QueueConfiguration& configuration)
+    {
+        bool isCommitted = false;
+        m_node->node().master().request(AcceptConfiguration { configuration },
+            [&](RequestOutcome outcome) { isCommitted = outcome == RequestOutcome::Done; });
+        REQUIRE(m_node->waitFor([&] { return isCommitted; }));
+    }
+
+    template <typename Condition> bool waitFor(Condition condition) { return m_node->waitFor(condition); }
+
     const JobStore& store() const { return m_node->node().store(); }
     JobMaster& master() { return m_node->node().master(); }
 
--- a/test/platform/PlatformApiKeysTest.cpp
+++ b/test/platform/PlatformApiKeysTest.cpp
@@ -1,5 +1,6 @@
 // Tests of API keys in requests to the leader.
 #include "SingleApi.h"
+#include "platform/WireCodec.h"
 
 #include <catch2/catch.hpp>
 
@@ -27,6 +28,16 @@
         + R"("public":true,"service":"s"}],"services":[{"name":"s"}],"tenants":[)" + customers + "]}";
 }
 
+/// @return the configuration as a version of celeryline without customers decodes it.
+QueueConfiguration ignoringCustomers(const std::string& text)
+{
+    auto configuration = platform::decodeConfiguration(document(2, ""));
+    for (auto& queue : configuration.queues)
+        queue.requiresKey = false;
+    configuration.document = text;
+    return configuration;
+}
+
 /// An API whose queue /work/ requires a key of ann or bob, and whose queue /open/ is public.
 struct KeysFixture {
     KeysFixture() { REQUIRE(api.configure(document(2, ann + "," + bob)).status == 200); }
@@ -186,6 +197,33 @@
     REQUIRE(f.api.call("DELETE", "/work/00000000000000c5", "", "key-ann").status == 200);
 }
 
+// Guards against a process that serves everybody after an upgrade: the version before has accepted the
+// configuration in force and ignored its customers.
+TEST_CASE(
+    "Customers that an earlier version ignored are added before a request is served", "[platform][customers]")
+{
+    SingleApi api;
+    api.accept(ignoringCustomers(document(2, ann)));
+    api.restart();
+    REQUIRE(api.submit(job).status == 503);
+    REQUIRE(api.submit(job, "key-ann").status == 503);
+    REQUIRE(api.store().jobCount() == 0);
+    REQUIRE(api.waitFor([&] { return !api.store().configuration().customers.empty(); }));
+    REQUIRE(api.submit(job).status == 401);
+    REQUIRE(api.submit(job, "key-ann").status == 200);
+    REQUIRE(api.store().configuration().version == 2);
+}
+
+// Guards against a process that refuses all requests after an upgrade, because its version can't read the
+// customers that the version before has ignored.
+TEST_CASE(
+    "Ignored customers that can't be read don't keep requests from being served", "[platform][customers]")
+{
+    SingleApi api;
+    api.accept(ignoringCustomers(document(2, R"({"name":"eve","api_keys":["key eve"]})")));
+    REQUIRE(api.submit(job).status == 200);
+}
+
 // Guards against a restarted process that accepts a removed key or lost a valid one.
 TEST_CASE("Keys are the same after a restart", "[platform][customers]")
 {
